--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' commands, without the terminal.
--- /dev/null
+++ b/crates/conf/src/account.rs
@@ -0,0 +1,85 @@
+//! Callers' accounts; of their keys only digests are kept.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+use crate::ConfError;
+use crate::check::require_range;
+
+/// SHA-256 digest of a caller's key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// The digest of a key as a caller presents it.
+    pub fn of_key(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl FromStr for KeyDigest {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let mut digest = [0; 32];
+        let decoded = hex::decode_to_slice(text, &mut digest);
+        decoded
+            .map_err(|e| format!("{e}; give the SHA-256 of the key in 64 hexadecimal digits"))?;
+        Ok(Self(digest))
+    }
+}
+
+impl TryFrom<String> for KeyDigest {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        text.parse()
+    }
+}
+
+impl From<KeyDigest> for String {
+    fn from(digest: KeyDigest) -> String {
+        digest.to_string()
+    }
+}
+
+/// Limits of an account and the digest of its key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AccountRule {
+    /// Digest of the account's key.
+    pub key_sha256: KeyDigest,
+    /// Requests a second at each entry.
+    pub requests_per_second: f64,
+    /// Requests that may come at once at each entry.
+    pub burst: u32,
+}
+
+impl AccountRule {
+    pub(crate) fn check(&self, path: &str) -> Result<(), ConfError> {
+        let rate = self.requests_per_second;
+        require_range(
+            rate,
+            0.001,
+            1_000_000.0,
+            format!("{path}.requests_per_second"),
+        )?;
+        require_range(self.burst, 1, 1_000_000, format!("{path}.burst"))
+    }
+}
--- /dev/null
+++ b/crates/conf/src/secret.rs
@@ -0,0 +1,50 @@
+//! The shared secret as settings hold it.
+
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+const LEAST_SECRET_BYTES: usize = 16;
+
+/// A secret in hexadecimal, hidden from logs.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SecretText(Vec<u8>);
+
+impl SecretText {
+    /// The secret's bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for SecretText {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        let bytes =
+            hex::decode(&text).map_err(|e| format!("the secret is not hexadecimal: {e}"))?;
+        if bytes.len() < LEAST_SECRET_BYTES {
+            let least = LEAST_SECRET_BYTES * 2;
+            return Err(format!(
+                "the secret is too short; give at least {least} digits"
+            ));
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl From<SecretText> for String {
+    fn from(secret: SecretText) -> String {
+        hex::encode(secret.0)
+    }
+}
+
+impl fmt::Debug for SecretText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SecretText(hidden)")
+    }
+}
--- /dev/null
+++ b/crates/demo/src/options.rs
@@ -0,0 +1,53 @@
+//! Size and settings of a demonstration site.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use conf::EntryLimits;
+use policy::EngineProfile;
+
+/// What a site consists of.
+#[derive(Debug, Clone)]
+pub struct SiteOptions {
+    /// Data centres.
+    pub centres: usize,
+    /// Model engines in each data centre.
+    pub engines: usize,
+    /// Plain services in each data centre.
+    pub services: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Address of the first entry; the others let the kernel pick their ports.
+    pub listen: SocketAddr,
+    /// Memory and step times of the engines.
+    pub profile: EngineProfile,
+    /// Whether the engines refuse orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Lag of the platform's list.
+    pub list_lag: Duration,
+    /// Bounds on callers.
+    pub limits: EntryLimits,
+    /// Directory for log files; no logs when absent.
+    pub log_dir: Option<PathBuf>,
+    /// Whether logs are kept in memory.
+    pub keep_logs: bool,
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self {
+            centres: 3,
+            engines: 7,
+            services: 1,
+            entries: 2,
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            profile: EngineProfile::default(),
+            checks_fencing: true,
+            list_lag: Duration::ZERO,
+            limits: EntryLimits::default(),
+            log_dir: None,
+            keep_logs: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/accounts.rs
@@ -0,0 +1,63 @@
+//! Finds a caller's account and keeps its limit.
+
+use conf::{
+    ConfigBook,
+    KeyDigest, //
+};
+use hyper::StatusCode;
+use hyper::header::{
+    AUTHORIZATION,
+    HeaderMap, //
+};
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::AccountLimit;
+use tokio::time::Instant;
+use units::AccountName;
+
+use crate::failure::CallerFailure;
+use crate::state::EntryShared;
+
+/// Account of all callers where none is configured.
+const ANONYMOUS: &str = "anonymous";
+
+impl EntryShared {
+    /// The caller's account, once its limit allows another request.
+    pub(crate) fn admit_account(
+        &self,
+        book: &ConfigBook,
+        headers: &HeaderMap,
+    ) -> Result<AccountName, CallerFailure> {
+        if book.accounts.is_empty() {
+            let name = ANONYMOUS.parse();
+            return name.map_err(|_| CallerFailure::invalid("bad_account", "no account"));
+        }
+        let value = headers
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
+        let key = value.and_then(|value| value.strip_prefix("Bearer "));
+        let found = key.and_then(|key| book.account_of(&KeyDigest::of_key(key.as_bytes())));
+        let Some((name, rule)) = found else {
+            let reason = "a caller's key belongs to no account";
+            self.log
+                .decide(DecisionRecord::new(DecisionKind::Intruder, reason));
+            let message = "no account with this key; send 'Authorization: Bearer KEY'";
+            let failure = CallerFailure::invalid("unknown_account", message);
+            return Err(failure.status(StatusCode::UNAUTHORIZED));
+        };
+        let rate = rule.requests_per_second;
+        let limit = AccountLimit {
+            rate,
+            burst: rule.burst.into(),
+        };
+        let taken = self.lock().limiter.take(Instant::now(), name, limit);
+        if let Err(wait) = taken {
+            let message = format!("account {name} is over its limit; send fewer requests");
+            let failure = CallerFailure::not_run("account_limit", message, wait);
+            return Err(failure.status(StatusCode::TOO_MANY_REQUESTS));
+        }
+        Ok(name.clone())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api.rs
@@ -0,0 +1,246 @@
+//! Shapes of the OpenAI interface, as far as they are served.
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::json;
+use units::{
+    ModelName,
+    RequestId,
+    TokenCount, //
+};
+
+use crate::failure::CallerFailure;
+
+/// Bytes of text that count as one token, until an engine's own count is known.
+const BYTES_PER_TOKEN: usize = 4;
+/// Tokens generated when a request names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Most tokens that a request may ask for.
+const MAX_TOKENS_LIMIT: u32 = 32_768;
+
+/// Which of the two completion calls was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ApiKind {
+    Text,
+    Chat,
+}
+
+/// A completion request of either kind.
+#[derive(Debug, Clone)]
+pub(crate) struct ApiRequest {
+    pub(crate) kind: ApiKind,
+    pub(crate) model: ModelName,
+    pub(crate) prompt: Bytes,
+    pub(crate) prompt_tokens: TokenCount,
+    pub(crate) max_tokens: TokenCount,
+    pub(crate) stream: bool,
+}
+
+#[derive(Deserialize)]
+struct TextBody {
+    model: ModelName,
+    prompt: String,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: ModelName,
+    messages: Vec<ChatMessage>,
+    #[serde(default, alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+impl ApiRequest {
+    /// Reads a request's body.
+    pub(crate) fn parse(kind: ApiKind, body: &[u8]) -> Result<Self, CallerFailure> {
+        let (model, prompt, max_tokens, stream) = match kind {
+            ApiKind::Text => {
+                let body: TextBody = read_json(body)?;
+                (body.model, body.prompt, body.max_tokens, body.stream)
+            }
+            ApiKind::Chat => {
+                let body: ChatBody = read_json(body)?;
+                let lines = body
+                    .messages
+                    .iter()
+                    .map(|m| format!("{}: {}\n", m.role, m.content));
+                (body.model, lines.collect(), body.max_tokens, body.stream)
+            }
+        };
+        if prompt.is_empty() {
+            let message = "the prompt is empty; send at least one character";
+            return Err(CallerFailure::invalid("empty_prompt", message));
+        }
+        let max_tokens = max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        if max_tokens == 0 || max_tokens > MAX_TOKENS_LIMIT {
+            let message = format!("max_tokens is {max_tokens}; use 1 to {MAX_TOKENS_LIMIT}");
+            return Err(CallerFailure::invalid("bad_max_tokens", message));
+        }
+        Ok(Self {
+            kind,
+            model,
+            prompt_tokens: TokenCount(prompt.len().div_ceil(BYTES_PER_TOKEN) as u32),
+            prompt: prompt.into(),
+            max_tokens: TokenCount(max_tokens),
+            stream,
+        })
+    }
+
+    fn object(&self, part: bool) -> &'static str {
+        match (self.kind, part) {
+            (ApiKind::Text, _) => "text_completion",
+            (ApiKind::Chat, false) => "chat.completion",
+            (ApiKind::Chat, true) => "chat.completion.chunk",
+        }
+    }
+
+    fn id(&self, request: RequestId) -> String {
+        match self.kind {
+            ApiKind::Text => format!("cmpl-{request}"),
+            ApiKind::Chat => format!("chatcmpl-{request}"),
+        }
+    }
+
+    fn usage(&self, completion: TokenCount) -> serde_json::Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": completion,
+            "total_tokens": self.prompt_tokens.0 + completion.0,
+        })
+    }
+
+    /// The whole answer as JSON.
+    pub(crate) fn whole(
+        &self,
+        request: RequestId,
+        created: u64,
+        text: &str,
+        finish: &str,
+        tokens: TokenCount,
+    ) -> String {
+        let choice = match self.kind {
+            ApiKind::Text => json!({"index": 0, "text": text, "finish_reason": finish}),
+            ApiKind::Chat => json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": finish,
+            }),
+        };
+        let reply = json!({
+            "id": self.id(request),
+            "object": self.object(false),
+            "created": created,
+            "model": self.model,
+            "choices": [choice],
+            "usage": self.usage(tokens),
+        });
+        reply.to_string()
+    }
+
+    /// One part of a streamed answer as an event.
+    pub(crate) fn part(&self, request: RequestId, created: u64, text: &str) -> Bytes {
+        let choice = match self.kind {
+            ApiKind::Text => json!({"index": 0, "text": text, "finish_reason": null}),
+            ApiKind::Chat => json!({
+                "index": 0,
+                "delta": {"content": text},
+                "finish_reason": null,
+            }),
+        };
+        self.event(request, created, choice, None)
+    }
+
+    /// The last part of a streamed answer, with the usage, and the end mark.
+    pub(crate) fn last(
+        &self,
+        request: RequestId,
+        created: u64,
+        finish: &str,
+        tokens: TokenCount,
+    ) -> Bytes {
+        let choice = match self.kind {
+            ApiKind::Text => json!({"index": 0, "text": "", "finish_reason": finish}),
+            ApiKind::Chat => json!({"index": 0, "delta": {}, "finish_reason": finish}),
+        };
+        let event = self.event(request, created, choice, Some(self.usage(tokens)));
+        let mut data = event.to_vec();
+        data.extend_from_slice(b"data: [DONE]\n\n");
+        data.into()
+    }
+
+    fn event(
+        &self,
+        request: RequestId,
+        created: u64,
+        choice: serde_json::Value,
+        usage: Option<serde_json::Value>,
+    ) -> Bytes {
+        let mut part = json!({
+            "id": self.id(request),
+            "object": self.object(true),
+            "created": created,
+            "model": self.model,
+            "choices": [choice],
+        });
+        if let Some(usage) = usage {
+            part["usage"] = usage;
+        }
+        format!("data: {part}\n\n").into()
+    }
+}
+
+fn read_json<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, CallerFailure> {
+    serde_json::from_slice(body).map_err(|error| {
+        let message = format!("the body cannot be read: {error}; send JSON as docs/api.md shows");
+        CallerFailure::invalid("malformed_json", message)
+    })
+}
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'a str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a ModelName,
+    object: &'a str,
+    owned_by: &'a str,
+}
+
+/// The list of models as JSON.
+pub(crate) fn model_list<'a>(models: impl Iterator<Item = &'a ModelName>) -> String {
+    let entry = |id| ModelEntry {
+        id,
+        object: "model",
+        owned_by: "operator",
+    };
+    let list = ModelList {
+        object: "list",
+        data: models.map(entry).collect(),
+    };
+    serde_json::to_string(&list).unwrap_or_default()
+}
+
+/// A failure for a model that no operator has configured.
+pub(crate) fn unknown_model(model: &ModelName) -> CallerFailure {
+    let message = format!("no model {model}; GET /v1/models lists those served");
+    CallerFailure::invalid("unknown_model", message).status(StatusCode::NOT_FOUND)
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,134 @@
+//! Starts and stops an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::EntrySettings;
+use logs::{
+    DecisionKind,
+    DecisionRecord,
+    LogSink, //
+};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use units::IncarnationId;
+use web::{
+    ServerLimits,
+    serve, //
+};
+use wire::PeerIdentity;
+
+use crate::EntryError;
+use crate::claims::{
+    claim_queue,
+    write_claims, //
+};
+use crate::config::watch_config;
+use crate::error::ListenSnafu;
+use crate::http::serve_request;
+use crate::members::follow_members;
+use crate::planner::plan_roles;
+use crate::state::EntryShared;
+
+/// Time during which a stopping entry says that it is not ready and still takes requests, so that
+/// the platform's balancer sends it none.
+const READY_LINGER: Duration = Duration::from_millis(500);
+
+/// A running entry.
+pub struct EntryDaemon {
+    address: SocketAddr,
+    shared: Arc<EntryShared>,
+    server: JoinHandle<()>,
+    server_stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl EntryDaemon {
+    /// Takes its port and starts to serve.
+    pub async fn start(settings: EntrySettings, log: LogSink) -> Result<Self, EntryError> {
+        let address = settings.listen;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let identity = PeerIdentity {
+            instance: settings.instance.clone(),
+            incarnation: IncarnationId(rand::random()),
+        };
+        let limits = ServerLimits {
+            connections: settings.limits.connections as usize,
+            header_time: Duration::from_millis(settings.limits.header_ms.into()),
+        };
+        let (claims, claim_orders) = claim_queue();
+        let shared = Arc::new(EntryShared::new(settings, identity, log, claims));
+        let handler_shared = shared.clone();
+        let handler = move |request| serve_request(handler_shared.clone(), request);
+        let (server_stop, stopped) = watch::channel(false);
+        let server = tokio::spawn(serve(listener, limits, stopped, handler));
+        let tasks = vec![
+            tokio::spawn(follow_members(shared.clone())),
+            tokio::spawn(watch_config(shared.clone())),
+            tokio::spawn(write_claims(shared.clone(), claim_orders)),
+            tokio::spawn(plan_roles(shared.clone())),
+        ];
+        let record = DecisionRecord::new(DecisionKind::Process, "started").chosen(address);
+        shared.log.decide(record);
+        Ok(Self {
+            address,
+            shared,
+            server,
+            server_stop,
+            tasks,
+        })
+    }
+
+    /// Address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether it has a configuration and at least one link.
+    pub fn is_ready(&self) -> bool {
+        let state = self.shared.lock();
+        state.keeper.version().0 > 0 && !state.links.is_empty()
+    }
+
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> units::ConfigVersion {
+        self.shared.lock().keeper.version()
+    }
+
+    /// Takes no new requests, finishes those that run, then ends.
+    pub async fn stop(self) {
+        self.shared.stop.send_replace(true);
+        tokio::time::sleep(READY_LINGER).await;
+        self.server_stop.send_replace(true);
+        let mut server = self.server;
+        // Ends once every answer is out.
+        let _ = (&mut server).await;
+        self.shared.lock().drain.close(Instant::now());
+        for task in &self.tasks {
+            task.abort();
+        }
+        let dialers = std::mem::take(&mut self.shared.lock().dialers);
+        dialers.values().for_each(|dialer| dialer.abort());
+        let record = DecisionRecord::new(DecisionKind::Process, "stopped");
+        self.shared.log.decide(record);
+    }
+
+    /// Ends at once, as a crash would.
+    pub fn kill(self) {
+        self.server.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
+        let mut state = self.shared.lock();
+        let dialers = std::mem::take(&mut state.dialers);
+        dialers.values().for_each(|dialer| dialer.abort());
+        state.links.clear();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive.rs
@@ -0,0 +1,490 @@
+//! Drives a completion over as many attempts as it takes, to one whole answer or one failure.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::{
+    AnswerAssembler,
+    ChunkVerdict,
+    RouteChoice,
+    RouteNeed,
+    RouteRefusal,
+    SuspectVerdict, //
+};
+use tokio::sync::mpsc;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout_at, //
+};
+use units::{
+    AttemptId,
+    InstanceId,
+    PieceCount,
+    TokenCount, //
+};
+use wire::{
+    FinishCode,
+    FrameKind,
+    RunCancel,
+    RunRequest, //
+};
+
+use crate::attempt::AttemptEvent;
+use crate::failure::{
+    CallerFailure,
+    RunTruth, //
+};
+use crate::link::is_whole;
+use crate::state::EntryShared;
+use crate::work::WorkItem;
+
+/// Attempts that a request may take before its first token.
+const START_ATTEMPTS: usize = 4;
+/// Attempts that an answer may take in all.
+const TOTAL_ATTEMPTS: usize = 24;
+/// Pause before a resume when no backend server is available.
+const RESUME_PAUSE: Duration = Duration::from_millis(200);
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// What a driver hands out.
+#[derive(Debug, Clone)]
+pub(crate) enum AnswerEvent {
+    Part(Bytes),
+    Whole {
+        finish: &'static str,
+        tokens: TokenCount,
+    },
+    Failed(CallerFailure),
+}
+
+/// How one attempt ended.
+enum AttemptEnd {
+    Whole(FinishCode),
+    Handoff(String),
+    /// Not run; the reason and when to come back.
+    Refused(String, Duration),
+    /// The engine crashed while it ran.
+    Crashed,
+    /// It ended early for another reason.
+    Interrupted,
+    /// The caller is gone.
+    Abandoned,
+    /// The time for the whole answer is over.
+    TimeOver,
+}
+
+/// Serves one request.
+pub(crate) struct AnswerDriver {
+    shared: Arc<EntryShared>,
+    work: WorkItem,
+    out: mpsc::Sender<AnswerEvent>,
+    assembler: AnswerAssembler,
+    tried: BTreeSet<InstanceId>,
+    kv_handle: String,
+    may_have_run: bool,
+    attempts: usize,
+}
+
+impl AnswerDriver {
+    pub(crate) fn new(
+        shared: Arc<EntryShared>,
+        work: WorkItem,
+        out: mpsc::Sender<AnswerEvent>,
+    ) -> Self {
+        Self {
+            shared,
+            work,
+            out,
+            assembler: AnswerAssembler::new(),
+            tried: BTreeSet::new(),
+            kv_handle: String::new(),
+            may_have_run: false,
+            attempts: 0,
+        }
+    }
+
+    /// Runs attempts until the answer is whole or has failed, and hands out the last event.
+    pub(crate) async fn run(mut self) {
+        let result = self.serve().await;
+        let last = match result {
+            Ok(Some(finish)) => {
+                let tokens = self.assembler.delivered();
+                self.log_end(DecisionKind::Finish, finish);
+                AnswerEvent::Whole { finish, tokens }
+            }
+            Ok(None) => {
+                self.log_end(DecisionKind::Finish, "the caller is gone");
+                return;
+            }
+            Err(failure) => {
+                let kind = match failure.truth {
+                    RunTruth::NotRun => DecisionKind::Refuse,
+                    RunTruth::Unknown => DecisionKind::Finish,
+                };
+                self.log_end(kind, failure.code);
+                self.shared
+                    .metrics
+                    .refusals
+                    .with_label_values(&[failure.code])
+                    .inc();
+                AnswerEvent::Failed(failure)
+            }
+        };
+        // The caller may be gone.
+        let _ = self.out.send(last).await;
+    }
+
+    async fn serve(&mut self) -> Result<Option<&'static str>, CallerFailure> {
+        self.shared.lock().retries.earn();
+        loop {
+            let alone = self.check_suspect()?;
+            if self.assembler.delivered() >= self.work.api.max_tokens {
+                return Ok(Some("length"));
+            }
+            let choice = match self.route() {
+                Ok(choice) => choice,
+                Err(refusal) => {
+                    self.wait_for_room(refusal).await?;
+                    continue;
+                }
+            };
+            self.attempts += 1;
+            let end = self.attempt(&choice, alone).await;
+            self.tried.insert(choice.instance);
+            match end {
+                AttemptEnd::Whole(code) => {
+                    self.clear_suspect(alone);
+                    return Ok(Some(finish_name(code)));
+                }
+                AttemptEnd::Abandoned => return Ok(None),
+                AttemptEnd::TimeOver => {
+                    let message = "the answer took longer than this entry allows; ask for less";
+                    return Err(CallerFailure::unknown("answer_timeout", message));
+                }
+                AttemptEnd::Refused(reason, after) => self.after_refusal(&reason, after)?,
+                AttemptEnd::Handoff(handle) => {
+                    self.kv_handle = handle;
+                    self.tried.clear();
+                }
+                AttemptEnd::Crashed | AttemptEnd::Interrupted => self.after_break()?,
+            }
+        }
+    }
+
+    /// Whether the request must run alone; fails when it may not run at all.
+    fn check_suspect(&self) -> Result<bool, CallerFailure> {
+        let fingerprint = self.work.fingerprint();
+        match self
+            .shared
+            .lock()
+            .suspects
+            .verdict(Instant::now(), fingerprint)
+        {
+            SuspectVerdict::Free => Ok(false),
+            SuspectVerdict::Alone => Ok(true),
+            SuspectVerdict::Quarantined(time) => {
+                let message = "this request crashed backend servers twice; change it or wait";
+                let mut failure = CallerFailure::not_run("quarantined", message, time);
+                if self.may_have_run {
+                    failure.truth = RunTruth::Unknown;
+                }
+                Err(failure)
+            }
+        }
+    }
+
+    fn clear_suspect(&self, alone: bool) {
+        if alone {
+            let fingerprint = self.work.fingerprint();
+            self.shared.lock().suspects.clear(fingerprint);
+        }
+    }
+
+    fn route(&mut self) -> Result<RouteChoice, RouteRefusal> {
+        let now = Instant::now();
+        let delivered = self.assembler.delivered();
+        let mut guard = self.shared.lock();
+        let state = &mut *guard;
+        let context = TokenCount(self.work.api.prompt_tokens.0 + delivered.0);
+        let left = self.work.output_left(delivered);
+        let pieces = (context.0 + left.0).div_ceil(state.piece_tokens);
+        let resumes = delivered.0 > 0;
+        let need = RouteNeed {
+            model: self.work.api.model.clone(),
+            rank: self.work.rank(),
+            start_work: state.cost.prefill_work(context),
+            decode_work: state.cost.decode_work(left),
+            pieces: PieceCount(pieces),
+            prefix: self.work.prefix(),
+            budget: if resumes {
+                Duration::MAX
+            } else {
+                self.work.start_budget(now)
+            },
+            imports: !self.kv_handle.is_empty(),
+            avoid: self.tried.clone(),
+        };
+        let choice = state.router.route(now, &need, &mut state.rng);
+        drop(guard);
+        if let Ok(choice) = &choice {
+            self.log_route(choice, resumes);
+        }
+        choice
+    }
+
+    /// Ends a request that can't start in time, or waits a little before a resume.
+    async fn wait_for_room(&mut self, refusal: RouteRefusal) -> Result<(), CallerFailure> {
+        let started = self.may_have_run || self.assembler.delivered().0 > 0;
+        let time_over = self.answer_deadline() <= Instant::now();
+        if !started || time_over || self.attempts >= TOTAL_ATTEMPTS {
+            return Err(self.no_room(refusal));
+        }
+        // The ones that were tried may be good again.
+        self.tried.clear();
+        if matches!(refusal, RouteRefusal::NoneAvailable) && !self.kv_handle.is_empty() {
+            self.kv_handle.clear();
+        }
+        sleep(RESUME_PAUSE).await;
+        Ok(())
+    }
+
+    fn no_room(&self, refusal: RouteRefusal) -> CallerFailure {
+        let mut failure = match refusal {
+            RouteRefusal::NoneAvailable => {
+                let message = "no backend server with this model takes work; try again later";
+                CallerFailure::not_run("none_available", message, RETRY_AFTER)
+            }
+            RouteRefusal::WouldMiss(wait) => {
+                let message = "the answer would start too late for its class; try again later";
+                CallerFailure::not_run("would_miss_target", message, wait.max(RETRY_AFTER))
+            }
+        };
+        if self.may_have_run {
+            failure.truth = RunTruth::Unknown;
+        }
+        failure
+    }
+
+    fn after_refusal(&mut self, reason: &str, after: Duration) -> Result<(), CallerFailure> {
+        self.kv_handle.clear();
+        let started = self.may_have_run || self.assembler.delivered().0 > 0;
+        let more = self.attempts
+            < if started {
+                TOTAL_ATTEMPTS
+            } else {
+                START_ATTEMPTS
+            };
+        if more && (started || self.shared.lock().retries.spend()) {
+            self.shared.metrics.retries.inc();
+            return Ok(());
+        }
+        let message = format!("backend servers refused the request ({reason}); try again later");
+        let mut failure = CallerFailure::not_run("refused", message, after);
+        if self.may_have_run {
+            failure.truth = RunTruth::Unknown;
+        }
+        Err(failure)
+    }
+
+    fn after_break(&mut self) -> Result<(), CallerFailure> {
+        self.kv_handle.clear();
+        self.may_have_run = true;
+        self.shared.metrics.resumes.inc();
+        if self.attempts >= TOTAL_ATTEMPTS {
+            let message = "the answer broke off too often; send the request again";
+            return Err(CallerFailure::unknown("broken_off", message));
+        }
+        Ok(())
+    }
+
+    fn answer_deadline(&self) -> Instant {
+        let time = Duration::from_millis(self.shared.settings.limits.answer_ms.into());
+        self.work.arrived + time
+    }
+
+    async fn attempt(&mut self, choice: &RouteChoice, alone: bool) -> AttemptEnd {
+        let (id, mut events) = self.shared.lock().attempts.open(&choice.instance);
+        let end = match self.send_run(id, choice, alone) {
+            true => self.follow(id, &mut events).await,
+            false => AttemptEnd::Refused("link_down".into(), RETRY_AFTER),
+        };
+        self.assembler.abandon();
+        self.shared.lock().attempts.close(id);
+        let left_running = matches!(end, AttemptEnd::Abandoned | AttemptEnd::TimeOver);
+        if left_running || matches!(end, AttemptEnd::Interrupted) {
+            self.send(
+                &choice.instance,
+                FrameKind::Cancel(RunCancel { attempt: id.0 }),
+            );
+        }
+        end
+    }
+
+    fn send(&self, instance: &InstanceId, kind: FrameKind) -> bool {
+        let state = self.shared.lock();
+        state
+            .links
+            .get(instance)
+            .is_some_and(|link| link.sender.send(kind))
+    }
+
+    fn send_run(&mut self, id: AttemptId, choice: &RouteChoice, alone: bool) -> bool {
+        let offset = self.assembler.begin(id);
+        let now = Instant::now();
+        let target = &self.work.target;
+        let start = if offset.0 > 0 {
+            target.start()
+        } else {
+            self.work.start_budget(now)
+        };
+        let run = RunRequest {
+            attempt: id.0,
+            request: Bytes::copy_from_slice(&self.work.request.0.to_be_bytes()),
+            class: self.work.class.to_string(),
+            rank: self.work.rank().index() as u32,
+            model: self.work.api.model.to_string(),
+            prompt: self.work.api.prompt.clone(),
+            prior: Bytes::copy_from_slice(self.assembler.text()),
+            offset: offset.0,
+            prompt_tokens: self.work.api.prompt_tokens.0,
+            max_tokens: self.work.api.max_tokens.0,
+            start_ms: start.as_millis() as u32,
+            fingerprint: self.work.fingerprint().0,
+            kv_handle: self.kv_handle.clone(),
+            alone,
+            gap_ms: target.gap_ms,
+        };
+        self.send(&choice.instance, FrameKind::Run(run))
+    }
+
+    /// Passes the chunks of an attempt on until it ends.
+    async fn follow(
+        &mut self,
+        id: AttemptId,
+        events: &mut mpsc::UnboundedReceiver<AttemptEvent>,
+    ) -> AttemptEnd {
+        let deadline = self.answer_deadline();
+        loop {
+            let next = tokio::select! {
+                next = timeout_at(deadline, events.recv()) => next,
+                _ = self.out.closed() => return AttemptEnd::Abandoned,
+            };
+            let Ok(Some(event)) = next else {
+                return AttemptEnd::TimeOver;
+            };
+            match event {
+                AttemptEvent::Chunk {
+                    offset,
+                    tokens,
+                    data,
+                } => {
+                    self.may_have_run |= tokens.0 > 0;
+                    let verdict = self.assembler.chunk(id, offset, tokens, data);
+                    if let Some(end) = self.take_verdict(verdict).await {
+                        return end;
+                    }
+                }
+                AttemptEvent::End {
+                    total,
+                    finish,
+                    kv_handle,
+                } => {
+                    return self.judge_end(id, total, finish, kv_handle);
+                }
+                AttemptEvent::Refused {
+                    reason,
+                    retry_after_ms,
+                } => {
+                    let after = Duration::from_millis(retry_after_ms.into());
+                    return AttemptEnd::Refused(reason, after);
+                }
+                AttemptEvent::Lost => return AttemptEnd::Interrupted,
+                AttemptEvent::Outcome(_) | AttemptEvent::Tickets(_) => {}
+            }
+        }
+    }
+
+    /// Hands a chunk out, or says why the attempt ends.
+    async fn take_verdict(&mut self, verdict: ChunkVerdict) -> Option<AttemptEnd> {
+        match verdict {
+            ChunkVerdict::Deliver(data) if data.is_empty() => None,
+            ChunkVerdict::Deliver(data) => {
+                let taken = self.hand_out(data).await;
+                (!taken).then_some(AttemptEnd::Abandoned)
+            }
+            ChunkVerdict::Gap => Some(AttemptEnd::Interrupted),
+            _ => None,
+        }
+    }
+
+    fn judge_end(
+        &mut self,
+        id: AttemptId,
+        total: TokenCount,
+        finish: FinishCode,
+        kv_handle: String,
+    ) -> AttemptEnd {
+        match (self.assembler.end(id, total), finish) {
+            (ChunkVerdict::Whole, code) if is_whole(code) => AttemptEnd::Whole(code),
+            (ChunkVerdict::Whole, FinishCode::Handoff) => AttemptEnd::Handoff(kv_handle),
+            (_, FinishCode::Crashed) => AttemptEnd::Crashed,
+            _ => AttemptEnd::Interrupted,
+        }
+    }
+
+    /// Hands a part to the caller, who must take it within the stall time.
+    async fn hand_out(&mut self, data: Bytes) -> bool {
+        if self.assembler.text().len() == data.len() {
+            let first = self.work.arrived.elapsed();
+            self.shared.metrics.first_token.observe(first.as_secs_f64());
+        }
+        let stall = Duration::from_millis(self.shared.settings.limits.stall_ms.into());
+        let sending = self.out.send(AnswerEvent::Part(data));
+        matches!(tokio::time::timeout(stall, sending).await, Ok(Ok(())))
+    }
+
+    fn log_route(&self, choice: &RouteChoice, resumes: bool) {
+        let kind = if resumes {
+            DecisionKind::Resume
+        } else {
+            DecisionKind::Route
+        };
+        let shown = |(instance, time): &(InstanceId, Duration)| {
+            format!("{instance} in {} ms", time.as_millis())
+        };
+        let considered = choice.considered.iter().map(shown).collect();
+        let reason = match (choice.cached, self.kv_handle.is_empty()) {
+            (_, false) => "takes over the KV cache, least predicted start and load",
+            (true, _) => "prefix is cached there, least predicted start and load",
+            (false, _) => "least predicted start and load",
+        };
+        let record = DecisionRecord::new(kind, reason)
+            .request(self.work.request)
+            .class(&self.work.class)
+            .chosen(&choice.instance)
+            .considered(considered);
+        self.shared.log.decide(record);
+    }
+
+    fn log_end(&self, kind: DecisionKind, reason: &str) {
+        let record = DecisionRecord::new(kind, reason)
+            .request(self.work.request)
+            .class(&self.work.class);
+        self.shared.log.decide(record);
+    }
+}
+
+fn finish_name(code: FinishCode) -> &'static str {
+    if code == FinishCode::Length {
+        "length"
+    } else {
+        "stop"
+    }
+}
--- /dev/null
+++ b/crates/entry/src/link.rs
@@ -0,0 +1,331 @@
+//! Keeps a link to one side process and passes on what comes over it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::{
+    CostModel,
+    CrashId,
+    EngineRole,
+    LoadReport,
+    RankMap,
+    SideStamp, //
+};
+use tokio::time::{
+    Instant,
+    MissedTickBehavior,
+    interval,
+    sleep, //
+};
+use units::{
+    AttemptId,
+    ConfigVersion,
+    DataCentre,
+    FingerprintId,
+    InstanceId,
+    PieceCount,
+    TokenCount,
+    WorkAmount, //
+};
+use wire::{
+    ConfigDocument,
+    ConfigPull,
+    FinishCode,
+    FrameKind,
+    FrameLink,
+    LinkTimes,
+    LoadStatus,
+    SuspectNotice,
+    connect_link, //
+};
+
+use crate::attempt::AttemptEvent;
+use crate::state::{
+    EntryShared,
+    SideLink, //
+};
+
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+const RECONNECT_LEAST: Duration = Duration::from_millis(100);
+const RECONNECT_MOST: Duration = Duration::from_secs(5);
+
+/// Where a side process is found.
+#[derive(Debug, Clone)]
+pub(crate) struct SideAddress {
+    pub(crate) instance: InstanceId,
+    pub(crate) centre: DataCentre,
+    pub(crate) address: SocketAddr,
+}
+
+/// Connects, serves the link, and connects again, until aborted.
+pub(crate) async fn keep_link(shared: Arc<EntryShared>, target: SideAddress) {
+    let mut pause = RECONNECT_LEAST;
+    loop {
+        let times = LinkTimes::default();
+        let connecting = connect_link(target.address, &shared.secret, &shared.identity, times);
+        match connecting.await {
+            Ok(link) if link.peer.instance == target.instance => {
+                pause = RECONNECT_LEAST;
+                let reason = serve_link(&shared, &target, link).await;
+                shared.lose_link(&target.instance, &reason);
+            }
+            Ok(link) => {
+                let reason = format!("another instance answered: {}", link.peer.instance);
+                shared.log_link(DecisionKind::Intruder, &target.instance, &reason);
+            }
+            Err(error) => {
+                let kind = match error {
+                    wire::WireError::Intruder => DecisionKind::Intruder,
+                    _ => DecisionKind::Link,
+                };
+                shared.log_link(kind, &target.instance, &error.to_string());
+            }
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(RECONNECT_MOST);
+    }
+}
+
+async fn serve_link(shared: &Arc<EntryShared>, target: &SideAddress, link: FrameLink) -> String {
+    let FrameLink {
+        peer,
+        sender,
+        mut receiver,
+    } = link;
+    let own = SideLink {
+        sender: sender.clone(),
+        incarnation: peer.incarnation,
+        service: None,
+        load: LoadStatus::default(),
+        leaving: false,
+    };
+    {
+        let mut state = shared.lock();
+        state.links.insert(target.instance.clone(), own);
+        shared.metrics.links.set(state.links.len() as i64);
+    }
+    shared.log_link(DecisionKind::Link, &target.instance, "connected");
+    let mut ticks = interval(HEARTBEAT_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                let _ = sender.send(shared.heartbeat());
+            }
+            next = receiver.recv() => match next {
+                Some(Ok(kind)) => shared.take_frame(target, kind),
+                Some(Err(error)) => return error.to_string(),
+                None => return "the link ended".into(),
+            },
+        }
+    }
+}
+
+impl EntryShared {
+    pub(crate) fn log_link(&self, kind: DecisionKind, instance: &InstanceId, reason: &str) {
+        self.log
+            .decide(DecisionRecord::new(kind, reason).chosen(instance));
+    }
+
+    /// Forgets a link and tells its attempts.
+    pub(crate) fn lose_link(&self, instance: &InstanceId, reason: &str) {
+        let mut state = self.lock();
+        state.links.remove(instance);
+        state.router.remove(instance);
+        state.lease.forget(instance);
+        state.attempts.lose(instance);
+        self.metrics.links.set(state.links.len() as i64);
+        drop(state);
+        self.log_link(DecisionKind::Link, instance, reason);
+    }
+
+    fn take_frame(&self, from: &SideAddress, kind: FrameKind) {
+        let instance = &from.instance;
+        match kind {
+            FrameKind::Heartbeat(beat) => {
+                if let Some(load) = beat.load {
+                    self.take_load(from, load);
+                }
+                self.pull_config(instance, ConfigVersion(beat.config_version));
+            }
+            FrameKind::Chunk(chunk) => {
+                let event = AttemptEvent::Chunk {
+                    offset: TokenCount(chunk.offset),
+                    tokens: TokenCount(chunk.tokens),
+                    data: chunk.data,
+                };
+                self.deliver(instance, chunk.attempt, event);
+            }
+            FrameKind::End(end) => {
+                let event = AttemptEvent::End {
+                    total: TokenCount(end.total),
+                    finish: end.finish(),
+                    kv_handle: end.kv_handle,
+                };
+                self.deliver(instance, end.attempt, event);
+            }
+            FrameKind::Refusal(refusal) => {
+                let event = AttemptEvent::Refused {
+                    reason: refusal.reason,
+                    retry_after_ms: refusal.retry_after_ms,
+                };
+                self.deliver(instance, refusal.attempt, event);
+            }
+            FrameKind::Outcome(outcome) => {
+                let attempt = outcome.attempt;
+                self.deliver(instance, attempt, AttemptEvent::Outcome(outcome));
+            }
+            FrameKind::TicketGrant(grant) => {
+                let event = AttemptEvent::Tickets(grant.tickets);
+                self.deliver(instance, grant.attempt, event);
+            }
+            FrameKind::Verdict(verdict) if !verdict.accepted => {
+                self.log_link(DecisionKind::RefuseOrder, instance, &verdict.reason);
+            }
+            FrameKind::Leave(notice) => self.take_leave(instance, notice.leaving),
+            FrameKind::Config(document) => {
+                self.take_config(ConfigVersion(document.version), document.document);
+            }
+            FrameKind::Pull(pull) => self.push_config(instance, pull.have),
+            FrameKind::Suspect(notice) => self.take_suspect(instance, notice),
+            // The rest is sent by entries, or belongs to the handshake.
+            _ => {}
+        }
+    }
+
+    fn deliver(&self, from: &InstanceId, attempt: u64, event: AttemptEvent) {
+        self.lock()
+            .attempts
+            .deliver(from, AttemptId(attempt), event);
+    }
+
+    fn take_load(&self, from: &SideAddress, load: LoadStatus) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let Some(link) = state.links.get_mut(&from.instance) else {
+            return;
+        };
+        let incarnation = link.incarnation;
+        let leaving = link.leaving;
+        link.service = load.service.parse().ok();
+        link.load = load.clone();
+        let stamp = SideStamp(Duration::from_millis(load.stamp_ms));
+        state.lease.stamp(&from.instance, incarnation, stamp);
+        if !load.service.is_empty() {
+            return;
+        }
+        state.cost = CostModel::new(load.prefill_seconds, load.decode_seconds);
+        state.piece_tokens = load.piece_tokens.max(1);
+        let Some(report) = read_report(&load) else {
+            return;
+        };
+        state
+            .router
+            .report(now, &from.instance, &from.centre, report);
+        let listed = state.listed.get(&from.instance);
+        let listed_leaving = listed.is_some_and(|r| r.state == store::InstanceState::Leaving);
+        state
+            .router
+            .set_leaving(&from.instance, leaving || listed_leaving);
+    }
+
+    fn take_leave(&self, instance: &InstanceId, leaving: bool) {
+        let mut state = self.lock();
+        if let Some(link) = state.links.get_mut(instance) {
+            link.leaving = leaving;
+        }
+        state.router.set_leaving(instance, leaving);
+        drop(state);
+        let reason = if leaving {
+            "the side process leaves"
+        } else {
+            "the side process is back"
+        };
+        self.log_link(DecisionKind::Drain, instance, reason);
+    }
+
+    fn pull_config(&self, instance: &InstanceId, offered: ConfigVersion) {
+        let state = self.lock();
+        let have = state.keeper.version();
+        if offered > have
+            && let Some(link) = state.links.get(instance)
+        {
+            let _ = link
+                .sender
+                .send(FrameKind::Pull(ConfigPull { have: have.0 }));
+        }
+    }
+
+    fn push_config(&self, instance: &InstanceId, have: u64) {
+        let state = self.lock();
+        let version = state.keeper.version().0;
+        if version <= have {
+            return;
+        }
+        let document = state.keeper.document().clone();
+        if let Some(link) = state.links.get(instance) {
+            let _ = link
+                .sender
+                .send(FrameKind::Config(ConfigDocument { version, document }));
+        }
+    }
+
+    /// Remembers a crash and tells the other sides, which tell entries not connected here.
+    fn take_suspect(&self, from: &InstanceId, notice: SuspectNotice) {
+        let ran: Vec<FingerprintId> = notice
+            .fingerprints
+            .iter()
+            .map(|print| FingerprintId(*print))
+            .collect();
+        let mut state = self.lock();
+        if !state
+            .suspects
+            .crash(Instant::now(), CrashId(notice.crash), &ran)
+        {
+            return;
+        }
+        for (instance, link) in &state.links {
+            if instance != from {
+                let _ = link.sender.send(FrameKind::Suspect(notice.clone()));
+            }
+        }
+        drop(state);
+        for print in ran {
+            let reason = format!("request {print} ran where {} crashed", notice.instance);
+            self.log
+                .decide(DecisionRecord::new(DecisionKind::Suspect, reason));
+        }
+    }
+}
+
+fn read_report(load: &LoadStatus) -> Option<LoadReport> {
+    let role = load.role.parse::<EngineRole>().ok()?;
+    let models = load
+        .models
+        .iter()
+        .filter_map(|name| name.parse().ok())
+        .collect();
+    let wait = |rank: policy::ServiceRank| load.wait.get(rank.index()).copied().unwrap_or(0.0);
+    Some(LoadReport {
+        role,
+        models,
+        wait: RankMap::from_fn(|rank| WorkAmount(wait(rank))),
+        running: WorkAmount(load.running),
+        prefill_total: WorkAmount(load.prefill_total),
+        decode_total: WorkAmount(load.decode_total),
+        streams: load.streams,
+        used: PieceCount(load.used),
+        pieces: PieceCount(load.pieces),
+        accepting: load.accepting,
+    })
+}
+
+/// Whether an attempt with this end was finished by the model or the caller's limit.
+pub(crate) fn is_whole(finish: FinishCode) -> bool {
+    matches!(finish, FinishCode::Stop | FinishCode::Length)
+}
--- /dev/null
+++ b/crates/entry/src/members.rs
@@ -0,0 +1,125 @@
+//! Follows the platform's list and keeps links to a bounded part of the side processes.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+use policy::{
+    choose_by_centre,
+    choose_members, //
+};
+use store::{
+    InstanceRecord,
+    InstanceState,
+    ProcessKind,
+    list_instances, //
+};
+use tokio::time::sleep;
+use units::{
+    DataCentre,
+    InstanceId, //
+};
+
+use crate::link::{
+    SideAddress,
+    keep_link, //
+};
+use crate::state::EntryShared;
+
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// Reads the list regularly and adapts the links, until aborted.
+pub(crate) async fn follow_members(shared: Arc<EntryShared>) {
+    loop {
+        match list_instances(shared.settings.platform).await {
+            Ok(records) => shared.take_list(records),
+            // The last list stays in force.
+            Err(_) => shared.metrics.store_errors.inc(),
+        }
+        sleep(LIST_PERIOD).await;
+    }
+}
+
+impl EntryShared {
+    fn take_list(self: &Arc<Self>, records: Vec<InstanceRecord>) {
+        let mut state = self.lock();
+        state.listed = records
+            .into_iter()
+            .map(|r| (r.instance.clone(), r))
+            .collect();
+        let leaving = state.listed_leaving();
+        let wanted = self.choose_links(&state.listed);
+        let known: Vec<InstanceId> = state.dialers.keys().cloned().collect();
+        for instance in known {
+            let gone = !state.listed.contains_key(&instance);
+            let unwanted = !wanted.contains(&instance) && state.attempts.count_on(&instance) == 0;
+            if gone || unwanted {
+                if let Some(dialer) = state.dialers.remove(&instance) {
+                    dialer.abort();
+                }
+                state.links.remove(&instance);
+                state.router.remove(&instance);
+                state.attempts.lose(&instance);
+            }
+        }
+        for instance in &leaving {
+            state.router.set_leaving(instance, true);
+        }
+        let fresh: Vec<InstanceId> = wanted
+            .into_iter()
+            .filter(|i| !state.dialers.contains_key(i))
+            .collect();
+        drop(state);
+        fresh.iter().for_each(|instance| self.dial(instance));
+    }
+
+    /// Starts to keep a link to a listed side process, unless one is kept already.
+    pub(crate) fn dial(self: &Arc<Self>, instance: &InstanceId) {
+        let mut state = self.lock();
+        let Some(record) = state.listed.get(instance) else {
+            return;
+        };
+        if state.dialers.contains_key(instance) {
+            return;
+        }
+        let target = SideAddress {
+            instance: instance.clone(),
+            centre: record.data_centre.clone(),
+            address: record.address,
+        };
+        let task = tokio::spawn(keep_link(self.clone(), target));
+        state.dialers.insert(instance.clone(), task.abort_handle());
+    }
+
+    fn choose_links(&self, listed: &BTreeMap<InstanceId, InstanceRecord>) -> BTreeSet<InstanceId> {
+        let mut by_centre: BTreeMap<DataCentre, BTreeSet<InstanceId>> = BTreeMap::new();
+        for record in listed
+            .values()
+            .filter(|record| record.kind == ProcessKind::Side)
+        {
+            let centre = by_centre.entry(record.data_centre.clone()).or_default();
+            centre.insert(record.instance.clone());
+        }
+        let limit = self.settings.sides_per_data_centre as usize;
+        choose_by_centre(&self.identity.instance, &by_centre, limit)
+    }
+
+    /// Whether this entry is one of the few of its data centre that do a duty.
+    pub(crate) fn has_duty(&self, duty: &str, few: usize) -> bool {
+        let Ok(duty) = duty.parse::<InstanceId>() else {
+            return true;
+        };
+        let state = self.lock();
+        let peers = state.listed.values().filter(|record| {
+            record.kind == ProcessKind::Entry
+                && record.state == InstanceState::Live
+                && record.data_centre == self.settings.data_centre
+        });
+        let mut names: BTreeSet<&InstanceId> = peers.map(|record| &record.instance).collect();
+        names.insert(&self.identity.instance);
+        choose_members(&duty, names, few).contains(&self.identity.instance)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/planner.rs
@@ -0,0 +1,213 @@
+//! Holds the planner lease of the data centre when it can, and orders role changes under it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::{
+    EngineRole,
+    EngineSight,
+    OrderBinding,
+    RoleChange,
+    RolePlanner, //
+};
+use store::{
+    SessionId,
+    SessionRequest,
+    StoreError,
+    StoreKey, //
+};
+use tokio::time::{
+    Instant,
+    MissedTickBehavior,
+    interval, //
+};
+use units::{
+    EpochNumber,
+    WorkAmount, //
+};
+use wire::{
+    FrameKind,
+    RoleOrder, //
+};
+
+use crate::state::{
+    EntryShared,
+    PLANNER_LEASE, //
+};
+
+const RENEW_PERIOD: Duration = Duration::from_millis(1_500);
+/// Entries of a data centre that try for the lease, so that the store is not asked by all.
+const CANDIDATES: usize = 3;
+
+/// Tries for the lease, renews it and plans under it, until aborted.
+pub(crate) async fn plan_roles(shared: Arc<EntryShared>) {
+    let mut holder = LeaseHolder {
+        shared,
+        session: None,
+        epoch: None,
+        orders: 0,
+    };
+    let mut planner = RolePlanner::new();
+    let mut ticks = interval(RENEW_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let candidate = holder.epoch.is_some() || holder.shared.has_duty("planner", CANDIDATES);
+        if candidate {
+            holder.renew().await;
+        }
+        let sights = holder.shared.sights();
+        let change = planner.plan(Instant::now(), &sights);
+        if let Some(change) = change {
+            holder.order(&change);
+        }
+    }
+}
+
+struct LeaseHolder {
+    shared: Arc<EntryShared>,
+    session: Option<SessionId>,
+    epoch: Option<EpochNumber>,
+    orders: u64,
+}
+
+impl LeaseHolder {
+    /// Gains or renews the lease; whatever fails counts as not renewed.
+    async fn renew(&mut self) {
+        self.shared.lock().lease.start_renewal(Instant::now());
+        let renewed = match (&self.session, self.epoch) {
+            (Some(session), Some(epoch)) => {
+                let session = session.clone();
+                self.shared
+                    .store
+                    .renew_session(&session)
+                    .await
+                    .map(|()| Some(epoch))
+            }
+            _ => self.gain().await,
+        };
+        match renewed {
+            Ok(Some(epoch)) => self.note_held(epoch),
+            Ok(None) => self.shared.lock().lease.renewal_failed(),
+            Err(error) => self.note_failed(&error),
+        }
+    }
+
+    async fn gain(&mut self) -> Result<Option<EpochNumber>, StoreError> {
+        let store = &self.shared.store;
+        let session = match self.session.clone() {
+            Some(session) => session,
+            None => {
+                let request = SessionRequest::new("galenarail-planner", PLANNER_LEASE);
+                store.create_session(&request).await?
+            }
+        };
+        self.session = Some(session.clone());
+        let key = StoreKey::planner(&self.shared.settings.data_centre);
+        let data = Bytes::from(self.shared.identity.instance.to_string());
+        if !store.acquire(&key, &session, data).await? {
+            // The session is kept alive for the next try.
+            store.renew_session(&session).await?;
+            return Ok(None);
+        }
+        // The index of the write that took the lock grows from holder to holder.
+        let value = store.get(&key).await?;
+        let held = value.filter(|value| value.session.as_ref() == Some(&session));
+        Ok(held.map(|value| EpochNumber(value.index)))
+    }
+
+    fn note_held(&mut self, epoch: EpochNumber) {
+        self.shared.lock().lease.renewed(epoch);
+        if self.epoch != Some(epoch) {
+            self.epoch = Some(epoch);
+            self.shared.metrics.planner.set(1);
+            let record = DecisionRecord::new(DecisionKind::Lease, "planner lease gained");
+            self.shared.log.decide(record.chosen(epoch));
+        }
+    }
+
+    fn note_failed(&mut self, error: &StoreError) {
+        self.shared.metrics.store_errors.inc();
+        self.shared.lock().lease.renewal_failed();
+        if matches!(error, StoreError::Refused { .. }) {
+            // The session has lapsed; another may hold the lease.
+            self.session = None;
+            self.shared.lock().lease.release();
+            if self.epoch.take().is_some() {
+                self.shared.metrics.planner.set(0);
+                let record = DecisionRecord::new(DecisionKind::Lease, "planner lease lost");
+                self.shared.log.decide(record);
+            }
+        }
+    }
+
+    /// Sends an order, if the lease covers a stamp of its side.
+    fn order(&mut self, change: &RoleChange) {
+        let now = Instant::now();
+        let state = self.shared.lock();
+        let Some(binding) = state.lease.binding(now, &change.instance) else {
+            return;
+        };
+        let Some(link) = state.links.get(&change.instance) else {
+            return;
+        };
+        self.orders += 1;
+        let order = make_order(self.orders, &binding, change.role);
+        let sent = link.sender.send(FrameKind::Order(order));
+        drop(state);
+        if !sent {
+            return;
+        }
+        self.shared.metrics.orders.inc();
+        let reason = format!(
+            "prefill is {:.0}% of the work, gain {:.1} engine seconds",
+            change.share * 100.0,
+            change.gain
+        );
+        let record = DecisionRecord::new(DecisionKind::Order, reason)
+            .chosen(format!("{} to {}", change.instance, change.role));
+        self.shared.log.decide(record);
+    }
+}
+
+fn make_order(order: u64, binding: &OrderBinding, role: EngineRole) -> RoleOrder {
+    RoleOrder {
+        order,
+        epoch: binding.epoch.0,
+        incarnation: binding.incarnation.0,
+        stamp_ms: binding.stamp.0.as_millis() as u64,
+        role: role.to_string(),
+    }
+}
+
+impl EntryShared {
+    /// The engines of the own data centre.
+    fn sights(&self) -> Vec<EngineSight> {
+        let state = self.lock();
+        let mut sights = Vec::new();
+        for (instance, link) in &state.links {
+            let listed = state.listed.get(instance);
+            let own = listed.is_some_and(|r| r.data_centre == self.settings.data_centre);
+            let Ok(role) = link.load.role.parse::<EngineRole>() else {
+                continue;
+            };
+            if !own || link.service.is_some() || link.load.pieces == 0 {
+                continue;
+            }
+            sights.push(EngineSight {
+                instance: instance.clone(),
+                role,
+                unavailable: link.load.changing || !link.load.accepting,
+                prefill_total: WorkAmount(link.load.prefill_total),
+                decode_total: WorkAmount(link.load.decode_total),
+                change_seconds: link.load.role_change_seconds,
+            });
+        }
+        sights
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,201 @@
+//! What the tasks of an entry share.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard, //
+};
+use std::time::Duration;
+
+use conf::{
+    ConfigBook,
+    EntrySettings, //
+};
+use logs::{
+    DecisionKind,
+    DecisionRecord,
+    LogSink, //
+};
+use policy::{
+    AccountLimiter,
+    ConfigKeeper,
+    CostModel,
+    DrainGate,
+    EngineProfile,
+    EngineRouter,
+    LeaseKeeper,
+    RetryBudget,
+    SharedSecret,
+    SuspectRegister, //
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use store::{
+    InstanceRecord,
+    StoreClient, //
+};
+use tokio::sync::{
+    Notify,
+    watch, //
+};
+use tokio::task::AbortHandle;
+use units::{
+    ConfigVersion,
+    IncarnationId,
+    InstanceId,
+    ServiceName, //
+};
+use wire::{
+    FrameKind,
+    LinkSender,
+    LoadStatus,
+    PeerIdentity, //
+};
+
+use crate::attempt::AttemptTable;
+use crate::claims::ClaimSender;
+use crate::metrics::EntryMetrics;
+
+/// Lease of a planner; sides refuse orders whose stamps are older.
+pub(crate) const PLANNER_LEASE: Duration = Duration::from_secs(6);
+
+pub(crate) struct EntryShared {
+    pub(crate) settings: EntrySettings,
+    pub(crate) identity: PeerIdentity,
+    pub(crate) secret: SharedSecret,
+    pub(crate) store: StoreClient,
+    pub(crate) log: LogSink,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) claims: ClaimSender,
+    pub(crate) stop: watch::Sender<bool>,
+    /// Told when a link comes up or the configuration changes.
+    pub(crate) changed: Notify,
+    state: Mutex<EntryState>,
+}
+
+/// A link that is up.
+pub(crate) struct SideLink {
+    pub(crate) sender: LinkSender,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) service: Option<ServiceName>,
+    pub(crate) load: LoadStatus,
+    pub(crate) leaving: bool,
+}
+
+pub(crate) struct EntryState {
+    pub(crate) router: EngineRouter,
+    pub(crate) links: BTreeMap<InstanceId, SideLink>,
+    pub(crate) dialers: BTreeMap<InstanceId, AbortHandle>,
+    pub(crate) listed: BTreeMap<InstanceId, InstanceRecord>,
+    pub(crate) attempts: AttemptTable,
+    pub(crate) keeper: ConfigKeeper,
+    pub(crate) book: Arc<ConfigBook>,
+    pub(crate) suspects: SuspectRegister,
+    pub(crate) retries: RetryBudget,
+    pub(crate) limiter: AccountLimiter,
+    pub(crate) lease: LeaseKeeper,
+    pub(crate) drain: DrainGate,
+    pub(crate) cost: CostModel,
+    pub(crate) piece_tokens: u32,
+    pub(crate) rng: StdRng,
+}
+
+impl EntryShared {
+    pub(crate) fn new(
+        settings: EntrySettings,
+        identity: PeerIdentity,
+        log: LogSink,
+        claims: ClaimSender,
+    ) -> Self {
+        let profile = EngineProfile::default();
+        let state = EntryState {
+            router: EngineRouter::new(settings.data_centre.clone()),
+            links: BTreeMap::new(),
+            dialers: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            attempts: AttemptTable::default(),
+            keeper: ConfigKeeper::default(),
+            book: Arc::default(),
+            suspects: SuspectRegister::default(),
+            retries: RetryBudget::new(),
+            limiter: AccountLimiter::default(),
+            lease: LeaseKeeper::new(PLANNER_LEASE),
+            drain: DrainGate::default(),
+            cost: CostModel::from_profile(&profile),
+            piece_tokens: profile.piece_tokens,
+            rng: StdRng::seed_from_u64(identity.incarnation.0),
+        };
+        let (stop, _) = watch::channel(false);
+        Self {
+            secret: SharedSecret::new(settings.secret.as_bytes()),
+            store: StoreClient::new(settings.store),
+            settings,
+            identity,
+            log,
+            metrics: EntryMetrics::new(),
+            claims,
+            stop,
+            changed: Notify::new(),
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, EntryState> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Takes a configuration if it is a later one, and lets every side know.
+    pub(crate) fn take_config(&self, version: ConfigVersion, document: bytes::Bytes) {
+        let Ok(book) = ConfigBook::from_json(&document) else {
+            let reason = "a configuration that cannot be read was not taken over";
+            self.log
+                .decide(DecisionRecord::new(DecisionKind::Config, reason));
+            return;
+        };
+        if book.version != version {
+            return;
+        }
+        let mut state = self.lock();
+        if !state.keeper.offer(version, document) {
+            return;
+        }
+        state.book = Arc::new(book);
+        let senders: Vec<LinkSender> = state
+            .links
+            .values()
+            .map(|link| link.sender.clone())
+            .collect();
+        drop(state);
+        self.metrics.config_version.set(version.0 as i64);
+        let record = DecisionRecord::new(DecisionKind::Config, "a higher version is in force");
+        self.log.decide(record.chosen(version));
+        let beat = self.heartbeat();
+        for sender in senders {
+            // A link that is gone is removed by its own task.
+            let _ = sender.send(beat.clone());
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// The heartbeat to send now.
+    pub(crate) fn heartbeat(&self) -> FrameKind {
+        let config_version = self.lock().keeper.version().0;
+        FrameKind::Heartbeat(wire::Heartbeat {
+            config_version,
+            load: None,
+        })
+    }
+}
+
+impl EntryState {
+    /// Instances in the platform's list that are about to go.
+    pub(crate) fn listed_leaving(&self) -> BTreeSet<InstanceId> {
+        let leaving = |record: &&InstanceRecord| record.state == store::InstanceState::Leaving;
+        let listed = self.listed.values().filter(leaving);
+        listed.map(|record| record.instance.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/work.rs
@@ -0,0 +1,59 @@
+//! A caller's completion with all that decides how it is served.
+
+use std::time::Duration;
+
+use conf::ClassTarget;
+use policy::ServiceRank;
+use tokio::time::Instant;
+use twox_hash::XxHash3_64;
+use units::{
+    ClassName,
+    FingerprintId,
+    RequestId,
+    TokenCount, //
+};
+
+use crate::api::ApiRequest;
+
+/// Bytes of a prompt whose hash stands for its prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// A completion to serve.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkItem {
+    pub(crate) request: RequestId,
+    pub(crate) class: ClassName,
+    pub(crate) target: ClassTarget,
+    pub(crate) api: ApiRequest,
+    pub(crate) arrived: Instant,
+    pub(crate) created: u64,
+}
+
+impl WorkItem {
+    pub(crate) fn rank(&self) -> ServiceRank {
+        self.target.rank
+    }
+
+    /// Time left until the first token is due.
+    pub(crate) fn start_budget(&self, now: Instant) -> Duration {
+        let due = self.arrived + self.target.start();
+        due.saturating_duration_since(now)
+    }
+
+    /// Stands for the class and the body, to recognise a request that is sent again.
+    pub(crate) fn fingerprint(&self) -> FingerprintId {
+        let seed = XxHash3_64::oneshot(self.class.as_str().as_bytes());
+        FingerprintId(XxHash3_64::oneshot_with_seed(seed, &self.api.prompt))
+    }
+
+    /// Stands for the first part of the prompt.
+    pub(crate) fn prefix(&self) -> u64 {
+        let end = self.api.prompt.len().min(PREFIX_BYTES);
+        XxHash3_64::oneshot(&self.api.prompt[..end])
+    }
+
+    /// Tokens still to generate after some were delivered.
+    pub(crate) fn output_left(&self, delivered: TokenCount) -> TokenCount {
+        TokenCount(self.api.max_tokens.0.saturating_sub(delivered.0))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/answer.rs
@@ -0,0 +1,39 @@
+//! The stand-in model: its answer depends on the prompt alone, so callers can check it whole.
+
+const WORDS: [&str; 16] = [
+    "apple", "crust", "oven", "butter", "alarm", "visit", "report", "order", "cherry", "shelf",
+    "battery", "ladder", "pastry", "window", "tenant", "flour",
+];
+
+fn mix(mut value: u64) -> u64 {
+    value ^= value >> 33;
+    value = value.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    value ^= value >> 33;
+    value = value.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    value ^ (value >> 33)
+}
+
+fn prompt_hash(prompt: &[u8]) -> u64 {
+    let fold = |hash: u64, byte: &u8| mix(hash ^ u64::from(*byte));
+    prompt.iter().fold(0x9e37_79b9, fold)
+}
+
+/// Text of one token of the answer to a prompt.
+pub fn token_text(prompt: &[u8], index: u32) -> String {
+    token_of(prompt_hash(prompt), index)
+}
+
+pub(crate) fn token_of(hash: u64, index: u32) -> String {
+    let word = WORDS[(mix(hash ^ u64::from(index)) % WORDS.len() as u64) as usize];
+    format!("{word}{index} ")
+}
+
+pub(crate) fn hash_of(prompt: &[u8]) -> u64 {
+    prompt_hash(prompt)
+}
+
+/// The whole answer to a prompt with a number of tokens.
+pub fn expected_answer(prompt: &[u8], tokens: u32) -> String {
+    let hash = prompt_hash(prompt);
+    (0..tokens).map(|index| token_of(hash, index)).collect()
+}
--- /dev/null
+++ b/crates/fakes/src/kv_http.rs
@@ -0,0 +1,258 @@
+//! The key-value service over Consul's HTTP interface.
+
+use std::net::SocketAddr;
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard, //
+};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use store::{
+    SessionId,
+    SessionRecord,
+    SessionRequest,
+    ValueRecord, //
+};
+use tokio::sync::watch;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout_at, //
+};
+use web::{
+    ReplyBody,
+    bytes_body,
+    json_reply,
+    read_body, //
+};
+
+use crate::kv_state::{
+    KvState,
+    StoreFaults,
+    ValueState, //
+};
+use crate::server::{
+    ServerHandle,
+    start, //
+};
+
+const BODY_LIMIT_BYTES: usize = 1_024 * 1_024;
+const BODY_TIME: Duration = Duration::from_secs(5);
+const LONGEST_WAIT: Duration = Duration::from_secs(600);
+
+/// A key-value service on loopback.
+#[derive(Debug)]
+pub struct FakeStore {
+    server: ServerHandle,
+    shared: Arc<SharedState>,
+}
+
+#[derive(Debug)]
+struct SharedState {
+    state: Mutex<KvState>,
+    changed: watch::Sender<u64>,
+}
+
+impl SharedState {
+    fn lock(&self) -> MutexGuard<'_, KvState> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+impl SharedState {
+    fn take_lost_answer(&self) -> bool {
+        let faults = &mut self.lock().faults;
+        let lost = faults.lost_answers > 0;
+        faults.lost_answers = faults.lost_answers.saturating_sub(1);
+        lost
+    }
+}
+
+impl FakeStore {
+    /// Starts the service; port 0 lets the kernel pick one.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let (changed, _) = watch::channel(0);
+        let state = Mutex::new(KvState::default());
+        let shared = Arc::new(SharedState { state, changed });
+        let handler_state = shared.clone();
+        let handler = move |request| handle(handler_state.clone(), request);
+        let server = start(address, handler).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Sets the faults to inject.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// Calls so far whose method and key start with a prefix, such as `PUT galenarail/claims`.
+    pub fn calls(&self, prefix: &str) -> u64 {
+        let state = self.shared.lock();
+        let matching = state
+            .calls
+            .iter()
+            .filter(|(name, _)| name.starts_with(prefix));
+        matching.map(|(_, count)| *count).sum()
+    }
+
+    /// Reads a value without a call.
+    pub fn peek(&self, key: &str) -> Option<Bytes> {
+        let value = self.shared.lock().get(Instant::now(), key)?;
+        Some(value.data)
+    }
+
+    /// Writes a value without a call.
+    pub fn seed(&self, key: &str, data: impl Into<Bytes>) {
+        self.shared.lock().put(key, None, data.into());
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+}
+
+async fn handle(shared: Arc<SharedState>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let method = request.method().clone();
+    let path = request.uri().path().trim_start_matches("/v1/").to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let name = format!("{method} {}", path.trim_start_matches("kv/"));
+    let faults = {
+        let mut state = shared.lock();
+        *state.calls.entry(name).or_default() += 1;
+        state.faults
+    };
+    if faults.down {
+        return cut().await;
+    }
+    sleep(faults.delay).await;
+    let Ok(body) = read_body(request.into_body(), BODY_LIMIT_BYTES, BODY_TIME).await else {
+        return json_reply(StatusCode::PAYLOAD_TOO_LARGE, "");
+    };
+    let is_write = method == Method::PUT;
+    let reply = match (method, path.split_once('/')) {
+        (Method::GET, Some(("kv", key))) => read_key(&shared, key, &query).await,
+        (Method::PUT, Some(("kv", key))) => write_key(&shared, key, &query, body),
+        (Method::PUT, Some(("session", rest))) => write_session(&shared, rest, &body),
+        _ => json_reply(StatusCode::NOT_FOUND, ""),
+    };
+    if is_write && shared.take_lost_answer() {
+        return cut().await;
+    }
+    reply
+}
+
+/// An answer that never comes; the caller's own limit ends it.
+async fn cut() -> Response<ReplyBody> {
+    sleep(LONGEST_WAIT).await;
+    json_reply(StatusCode::SERVICE_UNAVAILABLE, "")
+}
+
+fn argument<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// Reads a duration such as `10s` or `250ms`.
+fn read_duration(text: &str) -> Option<Duration> {
+    if let Some(millis) = text.strip_suffix("ms") {
+        return millis.parse().ok().map(Duration::from_millis);
+    }
+    let seconds = text.strip_suffix('s')?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+async fn read_key(shared: &SharedState, key: &str, query: &str) -> Response<ReplyBody> {
+    let known: u64 = argument(query, "index")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
+    let wait = argument(query, "wait")
+        .and_then(read_duration)
+        .unwrap_or_default();
+    let until = Instant::now() + wait.min(LONGEST_WAIT);
+    let mut changes = shared.changed.subscribe();
+    loop {
+        let value = shared.lock().get(Instant::now(), key);
+        let index = value.as_ref().map_or(0, |value| value.index);
+        let waited = Instant::now() >= until;
+        if index != known || known == 0 || waited {
+            return show_value(key, value);
+        }
+        // Running out of time ends the loop above.
+        let _ = timeout_at(until, changes.changed()).await;
+    }
+}
+
+fn show_value(key: &str, value: Option<ValueState>) -> Response<ReplyBody> {
+    let Some(value) = value else {
+        return json_reply(StatusCode::NOT_FOUND, "[]");
+    };
+    let record = ValueRecord {
+        key: key.into(),
+        value: Some(STANDARD.encode(&value.data)),
+        modify_index: value.index,
+        session: value.session.map(SessionId),
+    };
+    json_reply(
+        StatusCode::OK,
+        serde_json::to_vec(&[record]).unwrap_or_default(),
+    )
+}
+
+fn write_key(shared: &SharedState, key: &str, query: &str, body: Bytes) -> Response<ReplyBody> {
+    let mut state = shared.lock();
+    let written = match argument(query, "acquire") {
+        Some(session) => state.acquire(Instant::now(), key, session, body),
+        None => {
+            let expected = argument(query, "cas").and_then(|text| text.parse().ok());
+            state.put(key, expected, body)
+        }
+    };
+    drop(state);
+    shared.changed.send_modify(|count| *count += 1);
+    json_reply(StatusCode::OK, written.to_string())
+}
+
+fn write_session(shared: &SharedState, rest: &str, body: &[u8]) -> Response<ReplyBody> {
+    let now = Instant::now();
+    let mut state = shared.lock();
+    match rest.split_once('/') {
+        None if rest == "create" => {
+            let Ok(request) = serde_json::from_slice::<SessionRequest>(body) else {
+                return json_reply(StatusCode::BAD_REQUEST, "");
+            };
+            let ttl = read_duration(&request.ttl).unwrap_or(Duration::from_secs(10));
+            let id = SessionId(state.create_session(now, ttl));
+            let record = SessionRecord { id };
+            json_reply(
+                StatusCode::OK,
+                serde_json::to_vec(&record).unwrap_or_default(),
+            )
+        }
+        Some(("renew", id)) if state.renew_session(now, id) => json_reply(StatusCode::OK, "[]"),
+        Some(("renew", _)) => json_reply(StatusCode::NOT_FOUND, "[]"),
+        Some(("destroy", id)) => {
+            state.destroy_session(id);
+            drop(state);
+            shared.changed.send_modify(|count| *count += 1);
+            json_reply(StatusCode::OK, "true")
+        }
+        _ => {
+            let mut reply = Response::new(bytes_body(""));
+            *reply.status_mut() = StatusCode::NOT_FOUND;
+            reply
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/kv_state.rs
@@ -0,0 +1,131 @@
+//! The key-value service's state: values, sessions, locks, and the faults to inject.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+/// Faults of the store.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreFaults {
+    /// Connections are cut without an answer and without effect.
+    pub down: bool,
+    /// Time before each call takes effect.
+    pub delay: Duration,
+    /// Writes whose answers are to be lost after they took effect.
+    pub lost_answers: u32,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct ValueState {
+    pub(crate) data: Bytes,
+    pub(crate) index: u64,
+    pub(crate) session: Option<String>,
+}
+
+#[derive(Debug, Clone)]
+struct SessionState {
+    ttl: Duration,
+    expires: Instant,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct KvState {
+    values: BTreeMap<String, ValueState>,
+    sessions: BTreeMap<String, SessionState>,
+    index: u64,
+    pub(crate) faults: StoreFaults,
+    pub(crate) calls: BTreeMap<String, u64>,
+}
+
+impl KvState {
+    pub(crate) fn get(&mut self, now: Instant, key: &str) -> Option<ValueState> {
+        self.expire(now);
+        self.values.get(key).cloned()
+    }
+
+    /// Writes a value where `expected` is absent or names its index.
+    pub(crate) fn put(&mut self, key: &str, expected: Option<u64>, data: Bytes) -> bool {
+        let current = self.values.get(key).map_or(0, |value| value.index);
+        if expected.is_some_and(|index| index != current) {
+            return false;
+        }
+        self.index += 1;
+        let index = self.index;
+        let session = self.values.get(key).and_then(|value| value.session.clone());
+        self.values.insert(
+            key.into(),
+            ValueState {
+                data,
+                index,
+                session,
+            },
+        );
+        true
+    }
+
+    /// Writes a value and locks it for a session.
+    pub(crate) fn acquire(&mut self, now: Instant, key: &str, session: &str, data: Bytes) -> bool {
+        self.expire(now);
+        if !self.sessions.contains_key(session) {
+            return false;
+        }
+        let holder = self
+            .values
+            .get(key)
+            .and_then(|value| value.session.as_deref());
+        if holder.is_some_and(|holder| holder != session) {
+            return false;
+        }
+        self.index += 1;
+        let index = self.index;
+        let session = Some(session.to_owned());
+        self.values.insert(
+            key.into(),
+            ValueState {
+                data,
+                index,
+                session,
+            },
+        );
+        true
+    }
+
+    pub(crate) fn create_session(&mut self, now: Instant, ttl: Duration) -> String {
+        self.index += 1;
+        let id = format!("session-{}", self.index);
+        let expires = now + ttl;
+        self.sessions
+            .insert(id.clone(), SessionState { ttl, expires });
+        id
+    }
+
+    pub(crate) fn renew_session(&mut self, now: Instant, id: &str) -> bool {
+        self.expire(now);
+        let Some(session) = self.sessions.get_mut(id) else {
+            return false;
+        };
+        session.expires = now + session.ttl;
+        true
+    }
+
+    pub(crate) fn destroy_session(&mut self, id: &str) {
+        self.sessions.remove(id);
+        self.free_locks();
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.sessions.retain(|_, session| session.expires > now);
+        self.free_locks();
+    }
+
+    fn free_locks(&mut self) {
+        for value in self.values.values_mut() {
+            let lost = |id: &String| !self.sessions.contains_key(id);
+            if value.session.as_ref().is_some_and(lost) {
+                value.session = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/order_log.rs
@@ -0,0 +1,39 @@
+//! What an engine stand-in was ordered, and the check that no two orders conflict.
+
+use tokio::time::Instant;
+use units::EpochNumber;
+
+use policy::EngineRole;
+
+/// One order that reached an engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OrderEntry {
+    /// When it came.
+    pub at: Instant,
+    /// Fencing number that came with it.
+    pub epoch: EpochNumber,
+    /// Role ordered.
+    pub role: EngineRole,
+    /// When the change was over.
+    pub until: Instant,
+}
+
+/// Checks a history of orders: epochs never fall, and no order comes during another's change.
+pub fn check_orders(orders: &[OrderEntry]) -> Result<(), String> {
+    for pair in orders.windows(2) {
+        let (first, second) = (pair[0], pair[1]);
+        if second.epoch < first.epoch {
+            return Err(format!(
+                "epoch fell from {} to {}",
+                first.epoch, second.epoch
+            ));
+        }
+        if second.at < first.until {
+            return Err(format!(
+                "{} came during the change to {}",
+                second.role, first.role
+            ));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fakes/src/server.rs
@@ -0,0 +1,49 @@
+//! Starts a stand-in's HTTP server on loopback.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{
+    Request,
+    Response, //
+};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use web::{
+    ReplyBody,
+    ServerLimits,
+    serve, //
+};
+
+const LIMITS: ServerLimits = ServerLimits {
+    connections: 8_192,
+    header_time: Duration::from_secs(60),
+};
+
+/// A running server; it stops when this is dropped.
+#[derive(Debug)]
+pub(crate) struct ServerHandle {
+    pub(crate) address: SocketAddr,
+    stop: watch::Sender<bool>,
+}
+
+impl Drop for ServerHandle {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+    }
+}
+
+/// Serves on an address; port 0 lets the kernel pick one.
+pub(crate) async fn start<F, R>(address: SocketAddr, handler: F) -> std::io::Result<ServerHandle>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Response<ReplyBody>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(serve(listener, LIMITS, stopped, handler));
+    Ok(ServerHandle { address, stop })
+}
--- /dev/null
+++ b/crates/logs/src/sink.rs
@@ -0,0 +1,127 @@
+//! Where the decisions of one process go.
+
+use std::path::Path;
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+
+use snafu::ResultExt;
+use spdlog::sink::{
+    FileSink,
+    Sink,
+    StdStream,
+    StdStreamSink, //
+};
+use spdlog::{
+    Level,
+    LevelFilter,
+    Logger, //
+};
+use units::InstanceId;
+
+use crate::error::{
+    BuildLoggerSnafu,
+    OpenFileSnafu, //
+};
+use crate::line::LineFormatter;
+use crate::{
+    DecisionKind,
+    DecisionRecord,
+    LogError, //
+};
+
+/// Writes decisions as JSON lines, and can also keep them for a test or a session record.
+#[derive(Clone)]
+pub struct LogSink {
+    process: InstanceId,
+    logger: Option<Arc<Logger>>,
+    kept: Option<Arc<Mutex<Vec<DecisionRecord>>>>,
+}
+
+impl LogSink {
+    /// Lines to standard error.
+    pub fn stderr(process: InstanceId) -> Result<Self, LogError> {
+        let built = StdStreamSink::builder()
+            .std_stream(StdStream::Stderr)
+            .formatter(LineFormatter)
+            .build_arc();
+        let sink = built.map_err(Box::new).context(BuildLoggerSnafu)?;
+        Self::with_sink(process, sink)
+    }
+
+    /// Lines appended to a file.
+    pub fn file(process: InstanceId, path: &Path) -> Result<Self, LogError> {
+        let built = FileSink::builder()
+            .path(path)
+            .formatter(LineFormatter)
+            .build_arc();
+        let sink = built.map_err(Box::new).context(OpenFileSnafu { path })?;
+        Self::with_sink(process, sink)
+    }
+
+    /// No lines at all.
+    pub fn none(process: InstanceId) -> Self {
+        Self {
+            process,
+            logger: None,
+            kept: None,
+        }
+    }
+
+    /// No lines; the decisions are kept and can be taken out.
+    pub fn memory(process: InstanceId) -> Self {
+        Self {
+            process,
+            logger: None,
+            kept: Some(Arc::default()),
+        }
+    }
+
+    fn with_sink(process: InstanceId, sink: Arc<dyn Sink>) -> Result<Self, LogError> {
+        let built = Logger::builder()
+            .sink(sink)
+            .level_filter(LevelFilter::All)
+            .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Info))
+            .build_arc();
+        let logger = built.map_err(Box::new).context(BuildLoggerSnafu)?;
+        Ok(Self {
+            process,
+            logger: Some(logger),
+            kept: None,
+        })
+    }
+
+    /// Writes one decision.
+    pub fn decide(&self, record: DecisionRecord) {
+        if let Some(logger) = &self.logger {
+            let line = record.to_line(&self.process);
+            let level = level_of(record.kind());
+            spdlog::log!(logger: logger, level, "{}", line);
+        }
+        if let Some(kept) = &self.kept {
+            let mut records = kept.lock().unwrap_or_else(|e| e.into_inner());
+            records.push(record);
+        }
+    }
+
+    /// Takes the kept decisions out, as JSON lines.
+    pub fn take_lines(&self) -> Vec<String> {
+        let Some(kept) = &self.kept else {
+            return Vec::new();
+        };
+        let mut records = kept.lock().unwrap_or_else(|e| e.into_inner());
+        let taken = std::mem::take(&mut *records);
+        taken
+            .iter()
+            .map(|record| record.to_line(&self.process))
+            .collect()
+    }
+}
+
+fn level_of(kind: DecisionKind) -> Level {
+    match kind {
+        DecisionKind::Intruder | DecisionKind::RefuseOrder | DecisionKind::Suspect => Level::Warn,
+        _ => Level::Info,
+    }
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments that drive the decision code in virtual time.
--- /dev/null
+++ b/crates/policy/src/job.rs
@@ -0,0 +1,35 @@
+//! A job as the scheduler beside a backend server sees it.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::TokenCount;
+
+use crate::ServiceRank;
+
+/// Key of a job, unique on its side process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobKey(pub u64);
+
+/// What the scheduler must know of a job.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct JobSpec {
+    /// Key.
+    pub key: JobKey,
+    /// Rank of its class.
+    pub rank: ServiceRank,
+    /// Tokens to compute before the first new one.
+    pub context: TokenCount,
+    /// Tokens to generate at most.
+    pub output: TokenCount,
+    /// When its first token is due.
+    pub due: Instant,
+    /// Target of the time between tokens.
+    pub gap: Duration,
+    /// Whether it was running before and must not be refused for its target.
+    pub resumed: bool,
+    /// Whether its context is imported rather than computed.
+    pub imported: bool,
+    /// Whether nothing else may run beside it.
+    pub alone: bool,
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,78 @@
+//! Decisions without I/O: routing, limits, retries, membership, authority and recovery.
+//!
+//! Every type here is a plain state machine that takes the time as an argument, so that daemons,
+//! tests and measurements drive the same code.
+
+mod answer;
+mod claim;
+mod cost;
+mod drain;
+mod job;
+mod keeper;
+mod limiter;
+mod member;
+mod order;
+mod planner;
+mod profile;
+mod queue;
+mod rank;
+mod refusal;
+mod report;
+mod retry;
+mod role;
+mod router;
+mod sched;
+mod secret;
+mod suspect;
+mod ticket;
+
+pub use answer::AnswerAssembler;
+pub use answer::ChunkVerdict;
+pub use claim::CLAIM_SHARDS;
+pub use claim::ClaimKey;
+pub use claim::ClaimRecord;
+pub use claim::ClaimShard;
+pub use claim::ClaimVerdict;
+pub use claim::ClaimWish;
+pub use claim::body_digest;
+pub use cost::CostModel;
+pub use drain::DrainGate;
+pub use job::JobKey;
+pub use job::JobSpec;
+pub use keeper::ConfigKeeper;
+pub use limiter::AccountLimit;
+pub use limiter::AccountLimiter;
+pub use member::choose_by_centre;
+pub use member::choose_members;
+pub use member::has_duty;
+pub use order::LeaseKeeper;
+pub use order::OrderBinding;
+pub use order::OrderGuard;
+pub use order::OrderRefusal;
+pub use order::SideStamp;
+pub use planner::EngineSight;
+pub use planner::RoleChange;
+pub use planner::RolePlanner;
+pub use profile::EngineProfile;
+pub use queue::RankQueue;
+pub use rank::RankMap;
+pub use rank::ServiceRank;
+pub use refusal::RefusalReason;
+pub use report::LoadReport;
+pub use retry::RetryBudget;
+pub use role::EngineRole;
+pub use router::EngineRouter;
+pub use router::RouteChoice;
+pub use router::RouteNeed;
+pub use router::RouteRefusal;
+pub use sched::SideAction;
+pub use sched::SideScheduler;
+pub use secret::SharedSecret;
+pub use suspect::CrashId;
+pub use suspect::SuspectRegister;
+pub use suspect::SuspectVerdict;
+pub use ticket::CallRecord;
+pub use ticket::CallTicket;
+pub use ticket::TICKET_LIFETIME;
+pub use ticket::TicketVault;
+pub use ticket::TicketVerdict;
--- /dev/null
+++ b/crates/policy/src/sched.rs
@@ -0,0 +1,463 @@
+//! Decides beside a backend server what starts, what is paused and what is refused.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::{
+    ModelName,
+    PieceCount,
+    TokenCount,
+    WorkAmount, //
+};
+
+use crate::{
+    CostModel,
+    EngineProfile,
+    EngineRole,
+    JobKey,
+    JobSpec,
+    LoadReport,
+    RankMap,
+    RankQueue,
+    RefusalReason,
+    ServiceRank, //
+};
+
+/// Most jobs that wait, whatever their work.
+const QUEUE_LIMIT: usize = 512;
+/// Prefill handed to the engine ahead of time; the rest waits here, where ranks hold.
+const PREFILL_AHEAD: Duration = Duration::from_millis(120);
+/// Chunk that an engine prefills beside its streams.
+const MIXED_CHUNK: TokenCount = TokenCount(256);
+/// Chunk of an engine that prefills alone.
+const PREFILL_CHUNK: TokenCount = TokenCount(2_048);
+
+/// Wait that is predicted when no end of the running jobs makes room.
+const LONGEST_WAIT: Duration = Duration::from_secs(86_400);
+/// Size of the job for which reports predict waits.
+const PROBE_TOKENS: TokenCount = TokenCount(512);
+/// Gap target of that job.
+const PROBE_GAP: Duration = Duration::from_secs(1);
+
+/// What the side process is to do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SideAction {
+    /// Start this job on the engine.
+    Start(JobKey),
+    /// Cancel this job on the engine; it waits to be resumed.
+    Pause(JobKey),
+    /// Tell the caller at once that this job is not run.
+    Refuse(JobKey, RefusalReason),
+}
+
+#[derive(Debug, Clone)]
+struct RunningJob {
+    spec: JobSpec,
+    pieces: u32,
+    produced: u32,
+    started: bool,
+    since: Instant,
+}
+
+/// Queue, memory and stream limits of one backend server.
+#[derive(Debug)]
+pub struct SideScheduler {
+    profile: EngineProfile,
+    role: EngineRole,
+    models: Vec<ModelName>,
+    accepting: bool,
+    queue: RankQueue<JobSpec>,
+    running: BTreeMap<JobKey, RunningJob>,
+    used: u32,
+    pauses: u64,
+    prefill_total: f64,
+    decode_total: f64,
+}
+
+impl SideScheduler {
+    /// A scheduler for an idle engine.
+    pub fn new(profile: EngineProfile, role: EngineRole, floors: RankMap<f64>) -> Self {
+        Self {
+            profile,
+            role,
+            models: Vec::new(),
+            accepting: true,
+            queue: RankQueue::new(floors),
+            running: BTreeMap::new(),
+            used: 0,
+            pauses: 0,
+            prefill_total: 0.0,
+            decode_total: 0.0,
+        }
+    }
+
+    /// Changes the floor shares of the ranks.
+    pub fn set_floors(&mut self, floors: RankMap<f64>) {
+        self.queue.set_floors(floors);
+    }
+
+    /// Takes over what the engine says of itself.
+    pub fn set_engine(&mut self, profile: EngineProfile, role: EngineRole, models: Vec<ModelName>) {
+        self.profile = profile;
+        self.role = role;
+        self.models = models;
+    }
+
+    /// Whether new jobs are taken.
+    pub fn set_accepting(&mut self, accepting: bool) {
+        self.accepting = accepting;
+    }
+
+    /// Role that is assumed for the engine.
+    pub fn role(&self) -> EngineRole {
+        self.role
+    }
+
+    /// Streams paused so far.
+    pub fn pauses(&self) -> u64 {
+        self.pauses
+    }
+
+    /// Jobs that run or wait.
+    pub fn jobs(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
+    /// Takes a job, or says why it is not run.
+    pub fn submit(&mut self, now: Instant, spec: JobSpec) -> Result<(), RefusalReason> {
+        if !self.accepting {
+            return Err(RefusalReason::Leaving);
+        }
+        self.count_asked(&spec);
+        if self.pieces_of(&spec) > self.profile.pieces.0 {
+            return Err(RefusalReason::TooLarge);
+        }
+        if spec.resumed {
+            self.queue.push_front(spec.rank, spec);
+            return Ok(());
+        }
+        if self.queue.len() >= QUEUE_LIMIT {
+            return Err(RefusalReason::QueueFull);
+        }
+        let wait = self.predicted_wait(spec.rank, self.pieces_of(&spec), spec.gap);
+        if now + wait + self.prefill_time(&spec) > spec.due {
+            return Err(RefusalReason::WouldMiss);
+        }
+        self.queue.push_back(spec.rank, spec);
+        Ok(())
+    }
+
+    /// What to do now; call again after each submit, finish or first token.
+    pub fn poll(&mut self, now: Instant) -> Vec<SideAction> {
+        let mut actions = self.shed(now);
+        while let Some(rank) = self.queue.next_rank() {
+            let Some(spec) = self.queue.front(rank).copied() else {
+                break;
+            };
+            if self.has_room(&spec) {
+                self.queue.pop(rank);
+                self.start(now, spec);
+                actions.push(SideAction::Start(spec.key));
+                continue;
+            }
+            let Some(victims) = self.choose_victims(&spec) else {
+                break;
+            };
+            for victim in victims {
+                self.pause(victim);
+                actions.push(SideAction::Pause(victim));
+            }
+        }
+        actions
+    }
+
+    /// Counts a token of a running job.
+    pub fn progress(&mut self, key: JobKey, tokens: TokenCount) {
+        if let Some(job) = self.running.get_mut(&key) {
+            job.started = true;
+            job.produced += tokens.0;
+        }
+    }
+
+    /// Forgets a job that ended or was cancelled, wherever it is.
+    pub fn finish(&mut self, key: JobKey) {
+        if let Some(job) = self.running.remove(&key) {
+            self.used -= job.pieces;
+            return;
+        }
+        for rank in ServiceRank::ALL {
+            self.queue.remove_where(rank, |spec| spec.key == key);
+        }
+    }
+
+    /// Load as told to entries.
+    pub fn report(&self) -> LoadReport {
+        let pieces = self.profile.pieces_for(PROBE_TOKENS).0;
+        let wait = |rank| WorkAmount(self.predicted_wait(rank, pieces, PROBE_GAP).as_secs_f64());
+        let left: u32 = self.running.values().map(RunningJob::output_left).sum();
+        LoadReport {
+            role: self.role,
+            models: self.models.clone(),
+            wait: RankMap::from_fn(wait),
+            running: WorkAmount(f64::from(left) * self.profile.decode_seconds),
+            prefill_total: WorkAmount(self.prefill_total),
+            decode_total: WorkAmount(self.decode_total),
+            streams: self.running.len() as u32,
+            used: PieceCount(self.used),
+            pieces: self.profile.pieces,
+            accepting: self.accepting,
+        }
+    }
+
+    /// Time until a job of a rank would start its prefill.
+    fn predicted_wait(&self, rank: ServiceRank, pieces: u32, gap: Duration) -> Duration {
+        let pending: Duration = self
+            .running
+            .values()
+            .filter(|job| !job.started && job.spec.rank <= rank)
+            .map(|job| self.prefill_time(&job.spec))
+            .sum();
+        let line_time = |rank| -> Duration {
+            self.queue
+                .line(rank)
+                .map(|spec| self.prefill_time(spec))
+                .sum()
+        };
+        let own = line_time(rank);
+        let before: Duration = ranks_before(rank).map(line_time).sum();
+        let by_order = own + before;
+        let floor = self.queue.floor(rank);
+        let by_floor = if floor > 0.0 {
+            own.div_f64(floor)
+        } else {
+            Duration::MAX
+        };
+        let queued = by_order.min(by_floor);
+        let memory = self.memory_wait(rank, pieces, gap);
+        (pending.saturating_add(queued)).max(memory)
+    }
+
+    /// Time until enough running jobs have ended to hold a job of a rank and those before it.
+    fn memory_wait(&self, rank: ServiceRank, pieces: u32, gap: Duration) -> Duration {
+        let mut needed = pieces;
+        for other in ranks_before(rank).chain([rank]) {
+            needed += self
+                .queue
+                .line(other)
+                .map(|spec| self.pieces_of(spec))
+                .sum::<u32>();
+        }
+        let mut free = self.profile.pieces.0.saturating_sub(self.used);
+        let mut slots = self.stream_limit(gap).saturating_sub(self.running.len());
+        let waiting: usize = ranks_before(rank)
+            .chain([rank])
+            .map(|r| self.queue.line(r).count())
+            .sum();
+        if needed <= free && waiting < slots {
+            return Duration::ZERO;
+        }
+        let mut ends: Vec<(u32, u32)> = Vec::with_capacity(self.running.len());
+        for job in self.running.values() {
+            let pausable = self.is_pausable(job, rank);
+            let left = if pausable { 0 } else { job.output_left() };
+            ends.push((left, job.pieces));
+        }
+        ends.sort_unstable();
+        let step = self.profile.step_time(TokenCount(0), self.running.len());
+        for (left, pieces) in ends {
+            free += pieces;
+            slots += 1;
+            if needed <= free && waiting < slots {
+                return step * left;
+            }
+        }
+        LONGEST_WAIT
+    }
+
+    /// Refuses those that more urgent arrivals have pushed beyond their due time.
+    fn shed(&mut self, now: Instant) -> Vec<SideAction> {
+        let mut actions = Vec::new();
+        let mut before = Duration::ZERO;
+        for rank in ServiceRank::ALL {
+            let floor = self.queue.floor(rank);
+            let mut own = Duration::ZERO;
+            let mut late = Vec::new();
+            for spec in self.queue.line(rank) {
+                let prefill = self.prefill_time(spec);
+                let by_floor = if floor > 0.0 {
+                    own.div_f64(floor)
+                } else {
+                    Duration::MAX
+                };
+                let wait = (before + own).min(by_floor);
+                if !spec.resumed && now + wait.min(LONGEST_WAIT) + prefill > spec.due {
+                    late.push(spec.key);
+                    continue;
+                }
+                own += prefill;
+            }
+            if !late.is_empty() {
+                self.queue
+                    .remove_where(rank, |spec| late.contains(&spec.key));
+            }
+            let refuse = |key| SideAction::Refuse(key, RefusalReason::WouldMiss);
+            actions.extend(late.into_iter().map(refuse));
+            before += own;
+        }
+        actions
+    }
+
+    fn start(&mut self, now: Instant, spec: JobSpec) {
+        let pieces = self.pieces_of(&spec);
+        self.used += pieces;
+        let work = self.work_of(&spec);
+        self.queue.count_served(now, spec.rank, work);
+        let job = RunningJob {
+            spec,
+            pieces,
+            produced: 0,
+            started: false,
+            since: now,
+        };
+        self.running.insert(spec.key, job);
+    }
+
+    fn pause(&mut self, key: JobKey) {
+        let Some(job) = self.running.remove(&key) else {
+            return;
+        };
+        self.used -= job.pieces;
+        self.pauses += 1;
+        let mut spec = job.spec;
+        spec.context.0 += job.produced;
+        spec.output.0 = job.output_left().max(1);
+        spec.resumed = true;
+        spec.imported = false;
+        self.queue.push_front(spec.rank, spec);
+    }
+
+    fn has_room(&self, spec: &JobSpec) -> bool {
+        let pieces = self.pieces_of(spec);
+        let fits_memory = self.used + pieces <= self.profile.pieces.0;
+        let fits_streams = self.running.len() < self.stream_limit(spec.gap);
+        let alone = self.running.values().any(|job| job.spec.alone) || spec.alone;
+        let fits_alone = !alone || self.running.is_empty();
+        fits_memory && fits_streams && fits_alone && self.has_prefill_room()
+    }
+
+    fn has_prefill_room(&self) -> bool {
+        let pending = self.running.values().filter(|job| !job.started);
+        let ahead: Duration = pending.map(|job| self.prefill_time(&job.spec)).sum();
+        ahead < PREFILL_AHEAD
+    }
+
+    /// Lower streams whose pause makes room, the newest first; none when pausing can't help.
+    fn choose_victims(&self, spec: &JobSpec) -> Option<Vec<JobKey>> {
+        if spec.alone || !self.has_prefill_room() {
+            return None;
+        }
+        let mut lower: Vec<&RunningJob> = self
+            .running
+            .values()
+            .filter(|job| self.is_pausable(job, spec.rank))
+            .collect();
+        lower.sort_by_key(|job| {
+            (
+                std::cmp::Reverse(job.spec.rank),
+                std::cmp::Reverse(job.since),
+            )
+        });
+        let mut free = self.profile.pieces.0 - self.used;
+        let mut slots = self
+            .stream_limit(spec.gap)
+            .saturating_sub(self.running.len());
+        let needed = self.pieces_of(spec);
+        let mut victims = Vec::new();
+        for job in lower {
+            if needed <= free && slots > 0 {
+                break;
+            }
+            free += job.pieces;
+            slots += 1;
+            victims.push(job.spec.key);
+        }
+        let helps = needed <= free && slots > 0 && !victims.is_empty();
+        helps.then_some(victims)
+    }
+
+    /// A stream may be paused for a more urgent rank while its own keeps its floor of memory.
+    fn is_pausable(&self, job: &RunningJob, rank: ServiceRank) -> bool {
+        if job.spec.rank <= rank || job.spec.alone {
+            return false;
+        }
+        let same = self
+            .running
+            .values()
+            .filter(|other| other.spec.rank == job.spec.rank);
+        let held: u32 = same.map(|other| other.pieces).sum();
+        let floor = self.queue.floor(job.spec.rank) * f64::from(self.profile.pieces.0);
+        f64::from(held.saturating_sub(job.pieces)) >= floor
+    }
+
+    fn stream_limit(&self, gap: Duration) -> usize {
+        let gaps = self.running.values().map(|job| job.spec.gap);
+        let tightest = gaps.chain([gap]).min().unwrap_or(gap);
+        let chunk = match self.role {
+            EngineRole::Mixed => MIXED_CHUNK,
+            EngineRole::Prefill => return 64,
+            EngineRole::Decode => TokenCount(0),
+        };
+        self.profile.stream_limit(tightest, chunk)
+    }
+
+    fn pieces_of(&self, spec: &JobSpec) -> u32 {
+        let output = if self.role.generates() {
+            spec.output.0
+        } else {
+            1
+        };
+        self.profile
+            .pieces_for(TokenCount(spec.context.0 + output))
+            .0
+    }
+
+    fn prefill_time(&self, spec: &JobSpec) -> Duration {
+        if spec.imported {
+            let seconds = f64::from(spec.context.0) * self.profile.import_seconds;
+            return Duration::from_secs_f64(seconds);
+        }
+        let (chunk, streams) = match self.role {
+            EngineRole::Prefill => (PREFILL_CHUNK, 0),
+            _ => (MIXED_CHUNK, self.running.len()),
+        };
+        let step = self.profile.step_time(chunk, streams);
+        step.mul_f64(f64::from(spec.context.0) / f64::from(chunk.0))
+    }
+
+    fn count_asked(&mut self, spec: &JobSpec) {
+        let cost = CostModel::from_profile(&self.profile);
+        if !spec.imported {
+            self.prefill_total += cost.prefill_work(spec.context).0;
+        }
+        if self.role.generates() {
+            self.decode_total += cost.decode_work(spec.output).0;
+        }
+    }
+
+    fn work_of(&self, spec: &JobSpec) -> f64 {
+        let prefill = f64::from(spec.context.0) * self.profile.prefill_seconds;
+        let decode = f64::from(spec.output.0) * self.profile.decode_seconds;
+        prefill + decode
+    }
+}
+
+impl RunningJob {
+    fn output_left(&self) -> u32 {
+        self.spec.output.0.saturating_sub(self.produced)
+    }
+}
+
+fn ranks_before(rank: ServiceRank) -> impl Iterator<Item = ServiceRank> {
+    ServiceRank::ALL.into_iter().take(rank.index())
+}
--- /dev/null
+++ b/crates/side/src/crash.rs
@@ -0,0 +1,77 @@
+//! Tells entries which requests ran when the engine broke its streams.
+
+use std::time::Duration;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::CrashId;
+use tokio::time::Instant;
+use units::FingerprintId;
+use wire::{
+    FrameKind,
+    SuspectNotice, //
+};
+
+use crate::job::SideJob;
+use crate::state::{
+    SideShared,
+    SideState, //
+};
+
+/// Streams that break within this time broke in one crash.
+const CRASH_WINDOW: Duration = Duration::from_secs(1);
+
+impl SideShared {
+    /// Notes that a job's stream broke, before its end is sent.
+    pub(crate) fn note_crash(&self, state: &mut SideState, job: &SideJob) {
+        let now = Instant::now();
+        let same = state
+            .last_crash
+            .is_some_and(|last| now < last + CRASH_WINDOW);
+        if !same {
+            state.crash_count += 1;
+            state.last_crash = Some(now);
+        }
+        let crash = CrashId(self.identity.incarnation.0 ^ state.crash_count.rotate_left(32));
+        let fingerprint = job.fingerprint();
+        state.suspects.crash(now, crash, &[fingerprint]);
+        self.metrics.crashes.inc();
+        let notice = SuspectNotice {
+            crash: crash.0,
+            fingerprints: vec![fingerprint.0],
+            instance: self.identity.instance.to_string(),
+        };
+        for sender in state.links.values() {
+            // A link that is gone learns of the crash from other entries.
+            let _ = sender.send(FrameKind::Suspect(notice.clone()));
+        }
+        let record = DecisionRecord::new(DecisionKind::Suspect, "the engine broke its stream")
+            .request(hex::encode(&job.run.request))
+            .class(&job.run.class)
+            .chosen(job.attempt());
+        self.log.decide(record);
+    }
+
+    /// Passes on what another process tells of a crash, once.
+    pub(crate) fn relay_suspect(&self, from: u64, notice: SuspectNotice) {
+        let mut state = self.lock();
+        let ran: Vec<FingerprintId> = notice
+            .fingerprints
+            .iter()
+            .map(|print| FingerprintId(*print))
+            .collect();
+        if !state
+            .suspects
+            .crash(Instant::now(), CrashId(notice.crash), &ran)
+        {
+            return;
+        }
+        for (link, sender) in &state.links {
+            if *link != from {
+                let _ = sender.send(FrameKind::Suspect(notice.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/engine_watch.rs
@@ -0,0 +1,59 @@
+//! Asks the engine regularly how it is.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::engine_client::EngineInfo;
+use crate::state::SideShared;
+
+const POLL_PERIOD: Duration = Duration::from_millis(500);
+
+/// Reads the engine's state back, waits out a change in progress, then keeps watching.
+pub(crate) async fn watch_engine(shared: Arc<SideShared>) {
+    shared.lock().guard.set_busy();
+    loop {
+        if let Some(info) = shared.engine.info().await
+            && info.away_ms == 0
+        {
+            shared.take_info(info);
+            shared.lock().guard.finish();
+            break;
+        }
+        sleep(POLL_PERIOD / 5).await;
+    }
+    shared.refresh();
+    loop {
+        sleep(POLL_PERIOD).await;
+        match shared.engine.info().await {
+            Some(info) => shared.take_info(info),
+            None => shared.lock().engine_up = false,
+        }
+        shared.refresh();
+    }
+}
+
+impl SideShared {
+    /// Takes over what the engine says of itself.
+    pub(crate) fn take_info(&self, info: EngineInfo) {
+        let mut state = self.lock();
+        state.engine_up = info.away_ms == 0;
+        state.profile = info.profile;
+        state.guard.raise_epoch(info.highest_epoch);
+        let models = info.models.into_iter().collect();
+        state.scheduler.set_engine(info.profile, info.role, models);
+    }
+
+    fn refresh(self: &Arc<Self>) {
+        let mut state = self.lock();
+        let before = state.scheduler.report().accepting;
+        state.update_accepting();
+        let after = state.scheduler.report().accepting;
+        self.pump(&mut state);
+        drop(state);
+        if before != after {
+            self.broadcast(&self.heartbeat());
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/order.rs
@@ -0,0 +1,141 @@
+//! Carries out a planner's orders, one at a time and only while they have authority.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::{
+    EngineRole,
+    OrderBinding,
+    OrderRefusal,
+    SideStamp, //
+};
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout_at, //
+};
+use units::{
+    EpochNumber,
+    IncarnationId, //
+};
+use wire::{
+    FrameKind,
+    LinkSender,
+    OrderVerdict,
+    RoleOrder, //
+};
+
+use crate::engine_client::OrderReply;
+use crate::state::SideShared;
+
+/// Time that running streams get to finish before they are handed over.
+const FINISH_TIME: Duration = Duration::from_secs(3);
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+
+impl SideShared {
+    /// Accepts or refuses an order, and carries it out in its own task.
+    pub(crate) fn take_order(self: &Arc<Self>, order: RoleOrder, sender: &LinkSender) {
+        let binding = OrderBinding {
+            epoch: EpochNumber(order.epoch),
+            incarnation: IncarnationId(order.incarnation),
+            stamp: SideStamp(Duration::from_millis(order.stamp_ms)),
+        };
+        let Ok(role) = order.role.parse::<EngineRole>() else {
+            self.answer_order(sender, order.order, Some("unknown role".into()));
+            return;
+        };
+        let accepted = self.lock().guard.accept(self.clock.stamp(), &binding);
+        if let Err(refusal) = accepted {
+            self.refuse_order(&refusal);
+            self.answer_order(sender, order.order, Some(refusal.to_string()));
+            return;
+        }
+        self.answer_order(sender, order.order, None);
+        tokio::spawn(self.clone().change_role(binding, role));
+    }
+
+    fn answer_order(&self, sender: &LinkSender, order: u64, refusal: Option<String>) {
+        let accepted = refusal.is_none();
+        let reason = refusal.unwrap_or_default();
+        // The planner sees the outcome in the next reports too.
+        let _ = sender.send(FrameKind::Verdict(OrderVerdict {
+            order,
+            accepted,
+            reason,
+        }));
+    }
+
+    fn refuse_order(&self, refusal: &OrderRefusal) {
+        self.metrics.orders_refused.inc();
+        let record = DecisionRecord::new(DecisionKind::RefuseOrder, refusal.to_string());
+        self.log.decide(record);
+    }
+
+    async fn change_role(self: Arc<Self>, binding: OrderBinding, role: EngineRole) {
+        self.lock().update_accepting();
+        self.broadcast(&self.heartbeat());
+        self.empty_engine(Instant::now() + FINISH_TIME).await;
+        // Emptying takes time, in which the authority may have been lost.
+        let checked = self.lock().guard.check(self.clock.stamp(), &binding);
+        match checked {
+            Err(refusal) => self.refuse_order(&refusal),
+            Ok(()) => self.send_order(binding.epoch, role).await,
+        }
+        {
+            let mut state = self.lock();
+            state.guard.finish();
+            state.update_accepting();
+            self.pump(&mut state);
+        }
+        self.broadcast(&self.heartbeat());
+    }
+
+    /// Waits for running streams, then hands over the rest.
+    async fn empty_engine(self: &Arc<Self>, until: Instant) {
+        loop {
+            let changed = self.changed.notified();
+            if self.lock().jobs.is_empty() {
+                return;
+            }
+            if timeout_at(until, changed).await.is_err() {
+                break;
+            }
+        }
+        let mut state = self.lock();
+        self.hand_over(&mut state);
+    }
+
+    async fn send_order(self: &Arc<Self>, epoch: EpochNumber, role: EngineRole) {
+        self.metrics.orders.inc();
+        let record = DecisionRecord::new(DecisionKind::Order, "authority checked, engine empty")
+            .chosen(role);
+        self.log.decide(record);
+        let reply = self.engine.order(epoch, role).await;
+        if reply == OrderReply::Fenced {
+            let reason = "the engine has seen a higher fencing number";
+            let record = DecisionRecord::new(DecisionKind::RefuseOrder, reason);
+            self.log.decide(record);
+        }
+        if reply != OrderReply::Unsent {
+            self.await_engine().await;
+        }
+    }
+
+    /// Waits until the engine answers and no change is in progress in it.
+    pub(crate) async fn await_engine(self: &Arc<Self>) {
+        loop {
+            sleep(POLL_PERIOD).await;
+            let Some(info) = self.engine.info().await else {
+                continue;
+            };
+            if info.away_ms == 0 {
+                self.take_info(info);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/state.rs
@@ -0,0 +1,166 @@
+//! What the tasks of a side process share.
+
+use std::collections::BTreeMap;
+use std::sync::{
+    Mutex,
+    MutexGuard, //
+};
+use std::time::Duration;
+
+use conf::{
+    BackendKind,
+    SideSettings, //
+};
+use logs::LogSink;
+use policy::{
+    ConfigKeeper,
+    DrainGate,
+    EngineProfile,
+    EngineRole,
+    JobKey,
+    OrderGuard,
+    RankMap,
+    SharedSecret,
+    SideScheduler,
+    SuspectRegister,
+    TicketVault, //
+};
+use tokio::sync::{
+    Notify,
+    watch, //
+};
+use tokio::time::Instant;
+use wire::{
+    FrameKind,
+    LinkSender,
+    PeerIdentity, //
+};
+
+use crate::clock::SideClock;
+use crate::engine_client::EngineClient;
+use crate::job::SideJob;
+use crate::metrics::SideMetrics;
+
+/// Taken off the lease for clocks that run at unequal rates.
+const DRIFT_SHARE: u32 = 20;
+
+pub(crate) struct SideShared {
+    pub(crate) settings: SideSettings,
+    pub(crate) identity: PeerIdentity,
+    pub(crate) secret: SharedSecret,
+    pub(crate) clock: SideClock,
+    pub(crate) engine: EngineClient,
+    pub(crate) log: LogSink,
+    pub(crate) metrics: SideMetrics,
+    pub(crate) stop: watch::Sender<bool>,
+    pub(crate) changed: Notify,
+    state: Mutex<SideState>,
+}
+
+pub(crate) struct SideState {
+    pub(crate) scheduler: SideScheduler,
+    pub(crate) jobs: BTreeMap<JobKey, SideJob>,
+    pub(crate) next_job: u64,
+    pub(crate) links: BTreeMap<u64, LinkSender>,
+    pub(crate) next_link: u64,
+    pub(crate) drain: DrainGate,
+    /// Whether the operators' configuration drains this instance.
+    pub(crate) drained_by_config: bool,
+    pub(crate) guard: OrderGuard,
+    pub(crate) vault: TicketVault,
+    pub(crate) joins: BTreeMap<u64, Vec<CallWaiter>>,
+    pub(crate) keeper: ConfigKeeper,
+    pub(crate) suspects: SuspectRegister,
+    pub(crate) crash_count: u64,
+    pub(crate) last_crash: Option<Instant>,
+    pub(crate) engine_up: bool,
+    pub(crate) profile: EngineProfile,
+}
+
+/// Somebody who waits for the outcome of a running call.
+pub(crate) struct CallWaiter {
+    pub(crate) sender: LinkSender,
+    pub(crate) attempt: u64,
+}
+
+impl SideShared {
+    pub(crate) fn new(settings: SideSettings, identity: PeerIdentity, log: LogSink) -> Self {
+        let secret = SharedSecret::new(settings.secret.as_bytes());
+        let lease = Duration::from_millis(settings.lease_ms.into());
+        let guard = OrderGuard::new(identity.incarnation, lease, lease / DRIFT_SHARE);
+        let vault_secret = secret.clone();
+        let vault = TicketVault::new(
+            identity.instance.clone(),
+            identity.incarnation,
+            vault_secret,
+        );
+        let profile = EngineProfile::default();
+        let role = EngineRole::Mixed;
+        let state = SideState {
+            scheduler: SideScheduler::new(profile, role, RankMap::default()),
+            jobs: BTreeMap::new(),
+            next_job: 0,
+            links: BTreeMap::new(),
+            next_link: 0,
+            drain: DrainGate::default(),
+            drained_by_config: false,
+            guard,
+            vault,
+            joins: BTreeMap::new(),
+            keeper: ConfigKeeper::default(),
+            suspects: SuspectRegister::default(),
+            crash_count: 0,
+            last_crash: None,
+            engine_up: false,
+            profile,
+        };
+        let (stop, _) = watch::channel(false);
+        Self {
+            engine: EngineClient::new(settings.backend),
+            settings,
+            identity,
+            secret,
+            clock: SideClock::new(),
+            log,
+            metrics: SideMetrics::new(),
+            stop,
+            changed: Notify::new(),
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, SideState> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub(crate) fn is_engine(&self) -> bool {
+        matches!(self.settings.kind, BackendKind::Engine { .. })
+    }
+
+    /// Sends a frame to every entry.
+    pub(crate) fn broadcast(&self, kind: &FrameKind) {
+        let senders: Vec<LinkSender> = self.lock().links.values().cloned().collect();
+        for sender in senders {
+            // A link that is gone is removed by its own task.
+            let _ = sender.send(kind.clone());
+        }
+    }
+}
+
+impl SideState {
+    /// Whether new work is refused.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.drain.is_closed() || self.drained_by_config
+    }
+
+    /// Whether nothing runs, so that the process may stop.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.drain.running() == 0
+    }
+
+    /// Recomputes whether the scheduler takes jobs.
+    pub(crate) fn update_accepting(&mut self) {
+        let accepting = !self.is_leaving() && !self.guard.is_busy() && self.engine_up;
+        self.scheduler.set_accepting(accepting);
+    }
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,25 @@
+//! Client of the platform's key-value service and of its list of instances.
+//!
+//! The key-value service is met through Consul's HTTP interface: `cas` writes, sessions as leases,
+//! and blocking reads as watches.
+
+mod blocking;
+mod client;
+mod error;
+mod instances;
+mod keys;
+mod protocol;
+
+pub use blocking::BlockingClient;
+pub use client::StoreClient;
+pub use error::StoreError;
+pub use instances::InstanceRecord;
+pub use instances::InstanceState;
+pub use instances::ProcessKind;
+pub use instances::list_instances;
+pub use keys::StoreKey;
+pub use protocol::SessionId;
+pub use protocol::SessionRecord;
+pub use protocol::SessionRequest;
+pub use protocol::StoredValue;
+pub use protocol::ValueRecord;
--- /dev/null
+++ b/crates/store/src/protocol.rs
@@ -0,0 +1,154 @@
+//! Paths and JSON shapes of Consul's HTTP interface, as far as they are used.
+
+use std::fmt;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use snafu::OptionExt;
+
+use crate::error::{
+    RefusedSnafu,
+    ShapeSnafu, //
+};
+use crate::{
+    StoreError,
+    StoreKey, //
+};
+
+/// A session, the store's form of a lease.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SessionId(pub String);
+
+impl fmt::Display for SessionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A value with the index of its last change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredValue {
+    /// The value.
+    pub data: Bytes,
+    /// Index of its last change, for compare-and-swap and watches.
+    pub index: u64,
+    /// Session that holds its lock.
+    pub session: Option<SessionId>,
+}
+
+/// A value as the interface shows it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct ValueRecord {
+    /// Key.
+    pub key: String,
+    /// Value in Base64.
+    pub value: Option<String>,
+    /// Index of the last change.
+    pub modify_index: u64,
+    /// Session that holds the lock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<SessionId>,
+}
+
+/// Answer to the creation of a session.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SessionRecord {
+    /// Id of the session.
+    #[serde(rename = "ID")]
+    pub id: SessionId,
+}
+
+/// Asks for a session.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct SessionRequest {
+    /// Name for people.
+    pub name: String,
+    /// Duration without renewal, such as `10s`.
+    #[serde(rename = "TTL")]
+    pub ttl: String,
+    /// What becomes of locks when the session ends.
+    pub behavior: String,
+    /// Pause before another session may take a lock.
+    pub lock_delay: String,
+}
+
+impl SessionRequest {
+    /// A session whose lock is free at once when it ends.
+    pub fn new(name: &str, ttl: Duration) -> Self {
+        Self {
+            name: name.into(),
+            ttl: format!("{}ms", ttl.as_millis()),
+            behavior: "release".into(),
+            lock_delay: "0s".into(),
+        }
+    }
+}
+
+pub(crate) fn key_path(key: &StoreKey) -> String {
+    format!("/v1/kv/{key}")
+}
+
+pub(crate) fn watch_path(key: &StoreKey, index: u64, wait: Duration) -> String {
+    format!("/v1/kv/{key}?index={index}&wait={}ms", wait.as_millis())
+}
+
+pub(crate) fn swap_path(key: &StoreKey, expected: u64) -> String {
+    format!("/v1/kv/{key}?cas={expected}")
+}
+
+pub(crate) fn acquire_path(key: &StoreKey, session: &SessionId) -> String {
+    format!("/v1/kv/{key}?acquire={session}")
+}
+
+pub(crate) fn read_value(status: u16, body: &[u8]) -> Result<Option<StoredValue>, StoreError> {
+    if status == 404 {
+        return Ok(None);
+    }
+    check_status(status)?;
+    let records: Vec<ValueRecord> = read_json(body)?;
+    let Some(record) = records.into_iter().next() else {
+        return Ok(None);
+    };
+    let text = record.value.unwrap_or_default();
+    let decoded = STANDARD.decode(text).ok();
+    let reason = "a value is not Base64";
+    let data = decoded.context(ShapeSnafu { reason })?;
+    Ok(Some(StoredValue {
+        data: data.into(),
+        index: record.modify_index,
+        session: record.session,
+    }))
+}
+
+pub(crate) fn read_bool(status: u16, body: &[u8]) -> Result<bool, StoreError> {
+    check_status(status)?;
+    read_json(body)
+}
+
+pub(crate) fn read_session(status: u16, body: &[u8]) -> Result<SessionId, StoreError> {
+    check_status(status)?;
+    let record: SessionRecord = read_json(body)?;
+    Ok(record.id)
+}
+
+pub(crate) fn check_status(status: u16) -> Result<(), StoreError> {
+    if status != 200 {
+        return RefusedSnafu { status }.fail();
+    }
+    Ok(())
+}
+
+pub(crate) fn read_json<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Shape {
+        reason: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/units/src/lib.rs
@@ -0,0 +1,25 @@
+//! Newtypes for the ids, sizes and rates that cross crate borders.
+
+mod error;
+mod name;
+mod number;
+
+pub use error::UnitError;
+pub use name::AccountName;
+pub use name::CallName;
+pub use name::ClassName;
+pub use name::DataCentre;
+pub use name::InstanceId;
+pub use name::ModelName;
+pub use name::ServiceName;
+pub use number::AttemptId;
+pub use number::ConfigVersion;
+pub use number::EpochNumber;
+pub use number::FingerprintId;
+pub use number::IncarnationId;
+pub use number::PieceCount;
+pub use number::RequestId;
+pub use number::TokenCount;
+pub use number::TokenRate;
+pub use number::WorkAmount;
+pub use number::WorthPoints;
--- /dev/null
+++ b/crates/units/src/number.rs
@@ -0,0 +1,119 @@
+//! Numbers that carry their unit in their type.
+
+use std::{
+    fmt,
+    str::FromStr, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::UnitError;
+use crate::error::BadNumberSnafu;
+
+macro_rules! number_types {
+    ($(#[derive($($order:ident),*)] $(#[$doc:meta])* $name:ident($inner:ty) => $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, $($order),*)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                let Ok(value) = text.parse() else {
+                    let kind = $kind;
+                    return BadNumberSnafu { kind, text, base: "decimal" }.fail();
+                };
+                Ok(Self(value))
+            }
+        }
+    )*};
+}
+
+macro_rules! hex_types {
+    ($($(#[$doc:meta])* $name:ident($inner:ty, $width:literal) => $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{:0", $width, "x}"), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                let Ok(value) = <$inner>::from_str_radix(text, 16) else {
+                    let kind = $kind;
+                    return BadNumberSnafu { kind, text, base: "hexadecimal" }.fail();
+                };
+                Ok(Self(value))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = UnitError;
+
+            fn try_from(text: String) -> Result<Self, UnitError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.to_string()
+            }
+        }
+    )*};
+}
+
+number_types! {
+    #[derive(Eq, Ord, Hash)]
+    /// Version of the operators' configuration; each accepted change adds one.
+    ConfigVersion(u64) => "configuration version";
+    #[derive(Eq, Ord, Hash)]
+    /// Epoch of a planner; a later holder of the lease has a higher one.
+    EpochNumber(u64) => "epoch";
+    #[derive(Eq, Ord, Hash)]
+    /// Pieces of an engine's KV memory.
+    PieceCount(u32) => "piece count";
+    #[derive(Eq, Ord, Hash)]
+    /// Tokens of a prompt or an output.
+    TokenCount(u32) => "token count";
+    #[derive(Eq, Ord, Hash)]
+    /// Worth of one answer beside those of other classes.
+    WorthPoints(u32) => "worth";
+    #[derive()]
+    /// Tokens a second.
+    TokenRate(f64) => "token rate";
+    #[derive()]
+    /// Work in seconds of one engine.
+    WorkAmount(f64) => "work amount";
+}
+
+hex_types! {
+    /// One attempt at a request on one backend server, unique for its entry.
+    AttemptId(u64, "16") => "attempt id";
+    /// Fingerprint of a request's class and body.
+    FingerprintId(u64, "16") => "fingerprint";
+    /// One run of a process; a restart draws a new one.
+    IncarnationId(u64, "16") => "incarnation";
+    /// A caller's request, across all its attempts.
+    RequestId(u128, "32") => "request id";
+}
--- /dev/null
+++ b/crates/web/src/lib.rs
@@ -0,0 +1,19 @@
+//! HTTP server and client over `hyper`, with limits on size, connections and time.
+
+mod body;
+mod client;
+mod error;
+mod server;
+
+pub use body::ReplyBody;
+pub use body::bytes_body;
+pub use body::channel_body;
+pub use body::json_reply;
+pub use body::read_body;
+pub use client::HttpCall;
+pub use client::HttpReply;
+pub use client::open_call;
+pub use client::send_call;
+pub use error::WebError;
+pub use server::ServerLimits;
+pub use server::serve;
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,75 @@
+//! Length-delimited frames of protocol buffers.
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use prost::Message;
+use snafu::ResultExt;
+use tokio_util::codec::{
+    Decoder,
+    Encoder,
+    LengthDelimitedCodec, //
+};
+
+use crate::error::{
+    BrokenSnafu,
+    DecodeSnafu, //
+};
+use crate::{
+    Frame,
+    WireError, //
+};
+
+/// Longest frame in bytes; a longer one ends the connection before it is read.
+pub const FRAME_LIMIT_BYTES: usize = 2 * 1024 * 1024;
+
+/// Encodes and decodes frames.
+#[derive(Debug)]
+pub struct FrameCodec {
+    inner: LengthDelimitedCodec,
+}
+
+impl FrameCodec {
+    /// A codec with the frame limit.
+    pub fn new() -> Self {
+        let inner = LengthDelimitedCodec::builder()
+            .max_frame_length(FRAME_LIMIT_BYTES)
+            .new_codec();
+        Self { inner }
+    }
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = WireError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+        let Some(data) = self.inner.decode(source).context(BrokenSnafu)? else {
+            return Ok(None);
+        };
+        let frame = Frame::decode(data.freeze()).context(DecodeSnafu)?;
+        Ok(Some(frame))
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = WireError;
+
+    fn encode(&mut self, frame: Frame, target: &mut BytesMut) -> Result<(), WireError> {
+        let data = Bytes::from(frame.encode_to_vec());
+        self.inner.encode(data, target).context(BrokenSnafu)
+    }
+}
+
+impl From<std::io::Error> for WireError {
+    fn from(source: std::io::Error) -> Self {
+        WireError::Broken { source }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/handshake.rs
@@ -0,0 +1,166 @@
+//! Mutual proof of the shared secret, with a nonce from each end so that replays are worthless.
+
+use bytes::Bytes;
+use futures_util::{
+    SinkExt,
+    StreamExt, //
+};
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+use units::{
+    IncarnationId,
+    InstanceId, //
+};
+
+use crate::error::{
+    BadIdentitySnafu,
+    ClosedSnafu,
+    IntruderSnafu,
+    UnexpectedSnafu,
+    VersionSnafu, //
+};
+use crate::frame::{
+    Challenge,
+    Hello,
+    Welcome, //
+};
+use crate::{
+    Frame,
+    FrameCodec,
+    FrameKind,
+    WireError, //
+};
+use policy::SharedSecret;
+
+/// Version of the protocol between the system's processes.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+const NONCE_BYTES: usize = 16;
+const CONNECTOR_LABEL: &[u8] = b"galenarail connector";
+const ACCEPTOR_LABEL: &[u8] = b"galenarail acceptor";
+
+/// Who a process is on its links.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerIdentity {
+    /// Its instance.
+    pub instance: InstanceId,
+    /// Its run; a restart has another.
+    pub incarnation: IncarnationId,
+}
+
+pub(crate) type FramedStream = Framed<TcpStream, FrameCodec>;
+
+fn make_nonce() -> Bytes {
+    Bytes::copy_from_slice(&rand::random::<[u8; NONCE_BYTES]>())
+}
+
+async fn next_kind(framed: &mut FramedStream) -> Result<FrameKind, WireError> {
+    let Some(frame) = framed.next().await else {
+        return ClosedSnafu.fail();
+    };
+    frame?.kind.ok_or(WireError::Unexpected)
+}
+
+fn check_version(found: u32) -> Result<(), WireError> {
+    if found != PROTOCOL_VERSION {
+        let own = PROTOCOL_VERSION;
+        return VersionSnafu { found, own }.fail();
+    }
+    Ok(())
+}
+
+fn read_identity(instance: &str, incarnation: u64) -> Result<PeerIdentity, WireError> {
+    Ok(PeerIdentity {
+        instance: instance.parse().context(BadIdentitySnafu)?,
+        incarnation: IncarnationId(incarnation),
+    })
+}
+
+fn sign_identity(
+    secret: &SharedSecret,
+    label: &[u8],
+    nonces: [&[u8]; 2],
+    identity: &PeerIdentity,
+) -> Bytes {
+    let run = identity.incarnation.0.to_be_bytes();
+    let name = identity.instance.as_str().as_bytes();
+    secret
+        .sign(&[label, nonces[0], nonces[1], name, &run])
+        .into()
+}
+
+fn verify_identity(
+    secret: &SharedSecret,
+    label: &[u8],
+    nonces: [&[u8]; 2],
+    identity: &PeerIdentity,
+    proof: &[u8],
+) -> Result<(), WireError> {
+    let run = identity.incarnation.0.to_be_bytes();
+    let name = identity.instance.as_str().as_bytes();
+    if !secret.verify(&[label, nonces[0], nonces[1], name, &run], proof) {
+        return IntruderSnafu.fail();
+    }
+    Ok(())
+}
+
+/// The connecting end.
+pub(crate) async fn greet(
+    framed: &mut FramedStream,
+    secret: &SharedSecret,
+    own: &PeerIdentity,
+) -> Result<PeerIdentity, WireError> {
+    let FrameKind::Challenge(challenge) = next_kind(framed).await? else {
+        return UnexpectedSnafu.fail();
+    };
+    check_version(challenge.version)?;
+    let nonce = make_nonce();
+    let nonces = [&challenge.nonce[..], &nonce[..]];
+    let hello = Hello {
+        version: PROTOCOL_VERSION,
+        instance: own.instance.to_string(),
+        incarnation: own.incarnation.0,
+        nonce: nonce.clone(),
+        proof: sign_identity(secret, CONNECTOR_LABEL, nonces, own),
+    };
+    framed.send(Frame::from(FrameKind::Hello(hello))).await?;
+    let FrameKind::Welcome(welcome) = next_kind(framed).await? else {
+        return UnexpectedSnafu.fail();
+    };
+    let peer = read_identity(&welcome.instance, welcome.incarnation)?;
+    verify_identity(secret, ACCEPTOR_LABEL, nonces, &peer, &welcome.proof)?;
+    Ok(peer)
+}
+
+/// The accepting end.
+pub(crate) async fn admit(
+    framed: &mut FramedStream,
+    secret: &SharedSecret,
+    own: &PeerIdentity,
+) -> Result<PeerIdentity, WireError> {
+    let own_nonce = make_nonce();
+    let challenge = Challenge {
+        version: PROTOCOL_VERSION,
+        nonce: own_nonce.clone(),
+    };
+    framed
+        .send(Frame::from(FrameKind::Challenge(challenge)))
+        .await?;
+    let FrameKind::Hello(hello) = next_kind(framed).await? else {
+        return UnexpectedSnafu.fail();
+    };
+    check_version(hello.version)?;
+    let peer = read_identity(&hello.instance, hello.incarnation)?;
+    let nonces = [&own_nonce[..], &hello.nonce[..]];
+    verify_identity(secret, CONNECTOR_LABEL, nonces, &peer, &hello.proof)?;
+    let welcome = Welcome {
+        instance: own.instance.to_string(),
+        incarnation: own.incarnation.0,
+        proof: sign_identity(secret, ACCEPTOR_LABEL, nonces, own),
+    };
+    framed
+        .send(Frame::from(FrameKind::Welcome(welcome)))
+        .await?;
+    Ok(peer)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,43 @@
+//! Frames between entries and side processes: messages, codec, handshake and links.
+
+mod codec;
+mod error;
+mod frame;
+mod handshake;
+mod link;
+mod messages;
+
+pub use codec::FRAME_LIMIT_BYTES;
+pub use codec::FrameCodec;
+pub use error::WireError;
+pub use frame::Challenge;
+pub use frame::Frame;
+pub use frame::FrameKind;
+pub use frame::Hello;
+pub use frame::Welcome;
+pub use handshake::PROTOCOL_VERSION;
+pub use handshake::PeerIdentity;
+pub use link::FrameLink;
+pub use link::LinkSender;
+pub use link::LinkTimes;
+pub use link::accept_link;
+pub use link::connect_link;
+pub use messages::AnswerChunk;
+pub use messages::AnswerEnd;
+pub use messages::CallOutcome;
+pub use messages::CallRun;
+pub use messages::ConfigDocument;
+pub use messages::ConfigPull;
+pub use messages::FinishCode;
+pub use messages::Heartbeat;
+pub use messages::LeaveNotice;
+pub use messages::LoadStatus;
+pub use messages::OrderVerdict;
+pub use messages::RoleOrder;
+pub use messages::RunCancel;
+pub use messages::RunRefusal;
+pub use messages::RunRequest;
+pub use messages::SuspectNotice;
+pub use messages::TicketAsk;
+pub use messages::TicketGrant;
+pub use messages::VerdictCode;
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,187 @@
+//! A connection to a peer, with silence detected and sends bounded in time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::{
+    SinkExt,
+    StreamExt, //
+};
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::error::{
+    ClosedSnafu,
+    ConnectSnafu,
+    SilentSnafu, //
+};
+use crate::handshake::{
+    FramedStream,
+    admit,
+    greet, //
+};
+use crate::{
+    Frame,
+    FrameCodec,
+    FrameKind,
+    PeerIdentity,
+    WireError, //
+};
+use policy::SharedSecret;
+
+/// Frames that wait for a slow peer before the link is given up.
+const SEND_DEPTH: usize = 4_096;
+const RECEIVE_DEPTH: usize = 64;
+
+/// Bounds in time on a link.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkTimes {
+    /// Connecting and proving the secret.
+    pub handshake: Duration,
+    /// Without any frame, after which the peer counts as silent.
+    pub silence: Duration,
+}
+
+impl Default for LinkTimes {
+    fn default() -> Self {
+        Self {
+            handshake: Duration::from_millis(1_000),
+            silence: Duration::from_millis(1_500),
+        }
+    }
+}
+
+/// Queues frames for the peer; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct LinkSender {
+    queue: mpsc::Sender<Frame>,
+}
+
+impl LinkSender {
+    /// Queues a frame; false when the link is gone or its queue is full, and nothing was sent.
+    pub fn send(&self, kind: FrameKind) -> bool {
+        self.queue.try_send(Frame::from(kind)).is_ok()
+    }
+
+    /// Whether the link is gone.
+    pub fn is_closed(&self) -> bool {
+        self.queue.is_closed()
+    }
+}
+
+/// A link on which both ends proved the secret.
+#[derive(Debug)]
+pub struct FrameLink {
+    /// Who the other end is.
+    pub peer: PeerIdentity,
+    /// Frames to the peer.
+    pub sender: LinkSender,
+    /// Frames from the peer; ends with the error that ended the link.
+    pub receiver: mpsc::Receiver<Result<FrameKind, WireError>>,
+}
+
+/// Connects to a peer and proves the secret.
+pub async fn connect_link(
+    address: SocketAddr,
+    secret: &SharedSecret,
+    own: &PeerIdentity,
+    times: LinkTimes,
+) -> Result<FrameLink, WireError> {
+    let connecting = async {
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.context(ConnectSnafu { address })?;
+        let mut framed = frame_stream(stream);
+        let peer = greet(&mut framed, secret, own).await?;
+        Ok(start_link(framed, peer, times))
+    };
+    let connected = timeout(times.handshake, connecting).await;
+    connected.unwrap_or_else(|_| SilentSnafu.fail())
+}
+
+/// Lets a peer prove the secret on an accepted connection.
+pub async fn accept_link(
+    stream: TcpStream,
+    secret: &SharedSecret,
+    own: &PeerIdentity,
+    times: LinkTimes,
+) -> Result<FrameLink, WireError> {
+    let admitting = async {
+        let mut framed = frame_stream(stream);
+        let peer = admit(&mut framed, secret, own).await?;
+        Ok(start_link(framed, peer, times))
+    };
+    let admitted = timeout(times.handshake, admitting).await;
+    admitted.unwrap_or_else(|_| SilentSnafu.fail())
+}
+
+fn frame_stream(stream: TcpStream) -> FramedStream {
+    // A failure to set this option costs time only.
+    let _ = stream.set_nodelay(true);
+    Framed::new(stream, FrameCodec::new())
+}
+
+fn start_link(framed: FramedStream, peer: PeerIdentity, times: LinkTimes) -> FrameLink {
+    let (queue, outgoing) = mpsc::channel(SEND_DEPTH);
+    let (incoming, receiver) = mpsc::channel(RECEIVE_DEPTH);
+    tokio::spawn(pump_frames(framed, outgoing, incoming, times));
+    FrameLink {
+        peer,
+        sender: LinkSender { queue },
+        receiver,
+    }
+}
+
+/// Ends when either side of the link is dropped, the peer is silent, or an error occurs.
+async fn pump_frames(
+    framed: FramedStream,
+    mut outgoing: mpsc::Receiver<Frame>,
+    incoming: mpsc::Sender<Result<FrameKind, WireError>>,
+    times: LinkTimes,
+) {
+    let (mut sink, mut stream) = framed.split();
+    let writing = async {
+        while let Some(frame) = outgoing.recv().await {
+            let sending = async {
+                sink.feed(frame).await?;
+                while let Ok(more) = outgoing.try_recv() {
+                    sink.feed(more).await?;
+                }
+                sink.flush().await
+            };
+            match timeout(times.silence, sending).await {
+                Ok(sent) => sent?,
+                Err(_) => return SilentSnafu.fail(),
+            }
+        }
+        // All senders are gone; an orderly end for the peer.
+        let _ = timeout(times.silence, sink.close()).await;
+        ClosedSnafu.fail()
+    };
+    let reading = async {
+        loop {
+            let Ok(next) = timeout(times.silence, stream.next()).await else {
+                return SilentSnafu.fail();
+            };
+            let Some(frame) = next else {
+                return ClosedSnafu.fail();
+            };
+            let Some(kind) = frame?.kind else {
+                continue;
+            };
+            if incoming.send(Ok(kind)).await.is_err() {
+                return ClosedSnafu.fail();
+            }
+        }
+    };
+    let ended: Result<(), WireError> = tokio::select! {
+        ended = writing => ended,
+        ended = reading => ended,
+    };
+    if let Err(error) = ended {
+        // The receiver may be gone already.
+        let _ = incoming.send(Err(error)).await;
+    }
+}
