cli: commands for classes, accounts, drains and the configuration

Cause: operators had no way to state targets; racing operators and lost answers were not handled. Change: the galenarail program; edits by compare-and-swap with a write id kept in the history.

--- /dev/null
+++ b/crates/cli/src/commands/account.rs
@@ -0,0 +1,138 @@
+//! `account`: adds, lists and removes callers' accounts.
+
+use argh::FromArgs;
+use conf::{
+    AccountRule,
+    KeyDigest, //
+};
+use serde::Serialize;
+use snafu::ensure;
+use units::{
+    AccountName,
+    ConfigVersion, //
+};
+
+use crate::error::MissingSnafu;
+use crate::table::format_table;
+use crate::{
+    CliError,
+    CommandReport,
+    ConfigEditor, //
+};
+
+const KEY_BYTES: usize = 24;
+
+/// add, list and remove callers' accounts
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "account")]
+pub(crate) struct AccountArgs {
+    #[argh(subcommand)]
+    action: AccountAction,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum AccountAction {
+    Add(AddArgs),
+    List(ListArgs),
+    Remove(RemoveArgs),
+}
+
+/// add an account, or give it a new key, and print the key once
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "add")]
+struct AddArgs {
+    /// name of the account
+    #[argh(positional)]
+    name: AccountName,
+    /// requests a second at each entry
+    #[argh(option, default = "50.0")]
+    rate: f64,
+    /// requests that may come at once at each entry
+    #[argh(option, default = "100")]
+    burst: u32,
+}
+
+/// list the accounts
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListArgs {}
+
+/// remove an account
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "remove")]
+struct RemoveArgs {
+    /// name of the account
+    #[argh(positional)]
+    name: AccountName,
+}
+
+#[derive(Serialize)]
+struct NewAccount<'a> {
+    version: ConfigVersion,
+    name: &'a AccountName,
+    key: &'a str,
+}
+
+pub(crate) fn run(editor: &ConfigEditor, args: &AccountArgs) -> Result<CommandReport, CliError> {
+    match &args.action {
+        AccountAction::Add(args) => add(editor, args),
+        AccountAction::List(_) => list(editor),
+        AccountAction::Remove(args) => remove(editor, args),
+    }
+}
+
+fn add(editor: &ConfigEditor, args: &AddArgs) -> Result<CommandReport, CliError> {
+    let key = hex::encode(rand::random::<[u8; KEY_BYTES]>());
+    let rule = AccountRule {
+        key_sha256: KeyDigest::of_key(key.as_bytes()),
+        requests_per_second: args.rate,
+        burst: args.burst,
+    };
+    let name = &args.name;
+    let book = editor.edit(&format!("account add {name}"), None, |book| {
+        book.accounts.insert(name.clone(), rule.clone());
+        Ok(())
+    })?;
+    let version = book.version;
+    let text = format!("version {version}: account {name}\nkey: {key}\nonly its digest is kept\n");
+    Ok(CommandReport::new(
+        text,
+        &NewAccount {
+            version,
+            name,
+            key: &key,
+        },
+    ))
+}
+
+fn list(editor: &ConfigEditor) -> Result<CommandReport, CliError> {
+    let book = editor.read()?;
+    let row = |(name, rule): (&AccountName, &AccountRule)| {
+        vec![
+            name.to_string(),
+            rule.requests_per_second.to_string(),
+            rule.burst.to_string(),
+        ]
+    };
+    let rows: Vec<Vec<String>> = book.accounts.iter().map(row).collect();
+    let text = format_table(&["ACCOUNT", "RATE", "BURST"], &rows);
+    Ok(CommandReport::new(text, &book.accounts))
+}
+
+fn remove(editor: &ConfigEditor, args: &RemoveArgs) -> Result<CommandReport, CliError> {
+    let account = &args.name;
+    let book = editor.edit(&format!("account remove {account}"), None, |book| {
+        let name = account.to_string();
+        ensure!(
+            book.accounts.remove(account).is_some(),
+            MissingSnafu {
+                kind: "account",
+                name
+            }
+        );
+        Ok(())
+    })?;
+    let text = format!("version {}: account {account} is removed\n", book.version);
+    Ok(CommandReport::new(text, &book.version))
+}
--- /dev/null
+++ b/crates/cli/src/commands/config.rs
@@ -0,0 +1,124 @@
+//! `config`: shows, checks and replaces the configuration.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use conf::ConfigBook;
+use snafu::ResultExt;
+use units::ConfigVersion;
+
+use crate::error::{
+    InvalidSnafu,
+    ReadFileSnafu, //
+};
+use crate::table::format_table;
+use crate::{
+    CliError,
+    CommandReport,
+    ConfigEditor, //
+};
+
+/// show, check and replace the configuration
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "config")]
+pub(crate) struct ConfigArgs {
+    #[argh(subcommand)]
+    action: ConfigAction,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum ConfigAction {
+    Show(ShowArgs),
+    History(HistoryArgs),
+    Validate(ValidateArgs),
+    Apply(ApplyArgs),
+}
+
+/// show the configuration in force
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+struct ShowArgs {}
+
+/// list the latest changes
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+struct HistoryArgs {}
+
+/// check a file without applying it
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "validate")]
+struct ValidateArgs {
+    /// path of the JSON file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// replace classes, models, services and accounts by those of a file
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+struct ApplyArgs {
+    /// path of the JSON file
+    #[argh(positional)]
+    file: PathBuf,
+    /// fail unless the configuration has this version
+    #[argh(option)]
+    expect: Option<ConfigVersion>,
+}
+
+pub(crate) fn run(editor: &ConfigEditor, args: &ConfigArgs) -> Result<CommandReport, CliError> {
+    match &args.action {
+        ConfigAction::Show(_) => show(&editor.read()?),
+        ConfigAction::History(_) => history(&editor.read()?),
+        ConfigAction::Validate(args) => validate(args),
+        ConfigAction::Apply(args) => apply(editor, args),
+    }
+}
+
+fn show(book: &ConfigBook) -> Result<CommandReport, CliError> {
+    let mut shown = book.clone();
+    shown.history.clear();
+    let text = serde_json::to_string_pretty(&shown).unwrap_or_default();
+    Ok(CommandReport::new(text + "\n", book))
+}
+
+fn history(book: &ConfigBook) -> Result<CommandReport, CliError> {
+    let changes = book.history.iter().rev();
+    let row =
+        |c: &conf::ChangeRecord| vec![c.version.to_string(), c.write_id.clone(), c.note.clone()];
+    let rows: Vec<Vec<String>> = changes.map(row).collect();
+    let text = format_table(&["VERSION", "WRITE", "CHANGE"], &rows);
+    Ok(CommandReport::new(text, &book.history))
+}
+
+fn read_file(path: &PathBuf) -> Result<ConfigBook, CliError> {
+    let text = std::fs::read(path).context(ReadFileSnafu { path })?;
+    ConfigBook::from_json(&text).context(InvalidSnafu)
+}
+
+fn validate(args: &ValidateArgs) -> Result<CommandReport, CliError> {
+    let book = read_file(&args.file)?;
+    let text = format!(
+        "{}: valid, {} classes\n",
+        args.file.display(),
+        book.classes.len()
+    );
+    Ok(CommandReport::new(text, &true))
+}
+
+fn apply(editor: &ConfigEditor, args: &ApplyArgs) -> Result<CommandReport, CliError> {
+    let given = read_file(&args.file)?;
+    let note = format!("config apply {}", args.file.display());
+    let book = editor.edit(&note, args.expect, |book| {
+        let version = book.version;
+        let history = std::mem::take(&mut book.history);
+        let drains = std::mem::take(&mut book.drains);
+        *book = given.clone();
+        book.version = version;
+        book.history = history;
+        book.drains = drains;
+        Ok(())
+    })?;
+    let text = format!("version {}\n", book.version);
+    Ok(CommandReport::new(text, &book.version))
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,13 @@
-//! The operators' commands, without the terminal.
+//! The operators' commands, without the terminal: each gives a report or an error with a hint.
+
+mod commands;
+mod editor;
+mod error;
+mod report;
+mod table;
+
+pub use commands::OperatorArgs;
+pub use commands::run_command;
+pub use editor::ConfigEditor;
+pub use error::CliError;
+pub use report::CommandReport;
