measure: policies side by side in virtual time

Cause: no decision could be weighed; the demonstration shows that the path stands, not how well. Change: scenarios, workloads and five policies over the engine model and the decision library; an upper bound from a fluid that knows all arrivals.

--- a/crates/cli/tests/editor.rs
+++ b/crates/cli/tests/editor.rs
@@ -1,5 +1,7 @@
 //! Operators who race, and answers of the store that are lost.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 
 use cli::{
--- a/crates/conf/src/book.rs
+++ b/crates/conf/src/book.rs
@@ -7,6 +7,7 @@
 };
 
 use policy::{
+    FLOOR_TOTAL,
     RankMap,
     ServiceRank, //
 };
@@ -35,8 +36,6 @@
     KeyDigest, //
 };
 
-/// Share of the fleet that floors may take together; the rest goes by rank.
-const FLOOR_TOTAL: f64 = 0.4;
 /// Changes that the document remembers.
 const HISTORY_LIMIT: usize = 64;
 
--- a/crates/fakes/src/engine_model.rs
+++ b/crates/fakes/src/engine_model.rs
@@ -164,6 +164,11 @@
         self.leave(now + away)
     }
 
+    /// Loses the prefix cache.
+    pub fn drop_prefixes(&mut self) {
+        self.prefixes.clear();
+    }
+
     /// Loses all streams and caches, until a time.
     pub fn crash(&mut self, until: Instant) -> Vec<TokenEvent> {
         self.prefixes.clear();
--- /dev/null
+++ b/crates/measure/src/engine.rs
@@ -0,0 +1,136 @@
+//! An engine model with the scheduler beside it.
+
+use fakes::{
+    EngineModel,
+    StreamKey,
+    StreamSpec,
+    TokenEvent, //
+};
+use policy::{
+    EngineRole,
+    JobKey,
+    JobSpec,
+    RefusalReason,
+    SideAction,
+    SideScheduler, //
+};
+use tokio::time::Instant;
+use units::InstanceId;
+
+use crate::job::SimJob;
+use crate::site::SiteModel;
+
+/// Requests that an engine without a scheduler lets wait.
+const PLAIN_QUEUE: usize = 64;
+
+/// One engine of a run.
+pub(crate) struct SimEngine {
+    pub(crate) instance: InstanceId,
+    pub(crate) centre: usize,
+    pub(crate) model: EngineModel,
+    /// Absent for policies that give requests to engines directly.
+    pub(crate) side: Option<SideScheduler>,
+    pub(crate) stepping: bool,
+    pub(crate) generation: u64,
+    /// What the step under way brings at its end.
+    pub(crate) coming: Vec<TokenEvent>,
+    pub(crate) outstanding: usize,
+    /// Role that it gets once it is empty.
+    pub(crate) changing: Option<EngineRole>,
+    pub(crate) drained: bool,
+}
+
+impl SimEngine {
+    /// Takes a job, or says why not.
+    pub(crate) fn take(
+        &mut self,
+        now: Instant,
+        key: usize,
+        job: &SimJob,
+        site: &SiteModel,
+    ) -> Result<(), RefusalReason> {
+        if let Some(side) = &mut self.side {
+            return side.submit(now, spec_of(key, job, site));
+        }
+        let away = self.model.away_until().is_some_and(|until| until > now);
+        if away || self.drained {
+            return Err(RefusalReason::EngineDown);
+        }
+        if self.model.streams() >= PLAIN_QUEUE * 2 {
+            return Err(RefusalReason::QueueFull);
+        }
+        self.model.submit(stream_of(key, job, 0));
+        Ok(())
+    }
+
+    /// Lets the scheduler start, pause and refuse; gives the jobs refused and those paused.
+    pub(crate) fn pump(&mut self, now: Instant, jobs: &[SimJob]) -> (Vec<usize>, Vec<usize>) {
+        let mut refused = Vec::new();
+        let mut paused = Vec::new();
+        let Some(side) = &mut self.side else {
+            return (refused, paused);
+        };
+        for action in side.poll(now) {
+            match action {
+                SideAction::Start(JobKey(key)) => {
+                    let job = &jobs[key as usize];
+                    let priority = job.arrival.rank.index() as u32;
+                    self.model.submit(stream_of(key as usize, job, priority));
+                }
+                SideAction::Pause(JobKey(key)) => {
+                    self.model.cancel(StreamKey(key));
+                    paused.push(key as usize);
+                }
+                SideAction::Refuse(JobKey(key), _) => refused.push(key as usize),
+            }
+        }
+        (refused, paused)
+    }
+
+    /// Tells the scheduler whether the engine takes work.
+    pub(crate) fn update_accepting(&mut self, now: Instant) {
+        let away = self.model.away_until().is_some_and(|until| until > now);
+        let accepting = !away && !self.drained && self.changing.is_none();
+        let profile = *self.model.profile();
+        let role = self.model.role();
+        if let Some(side) = &mut self.side {
+            side.set_engine(profile, role, vec![model_name()]);
+            side.set_accepting(accepting);
+        }
+    }
+}
+
+/// The one model of a run.
+pub(crate) fn model_name() -> units::ModelName {
+    match "assistant".parse() {
+        Ok(name) => name,
+        Err(_) => unreachable!("the name is valid"),
+    }
+}
+
+fn spec_of(key: usize, job: &SimJob, site: &SiteModel) -> JobSpec {
+    let class = &site.classes[job.arrival.rank.index()];
+    JobSpec {
+        key: JobKey(key as u64),
+        rank: job.arrival.rank,
+        context: job.context(),
+        output: job.output_left(),
+        due: job.arrived + class.start - site.to_callers,
+        gap: class.gap,
+        resumed: job.produced > 0,
+        imported: job.imported,
+        alone: job.alone,
+    }
+}
+
+fn stream_of(key: usize, job: &SimJob, priority: u32) -> StreamSpec {
+    StreamSpec {
+        key: StreamKey(key as u64),
+        priority,
+        context: job.context(),
+        output: job.output_left(),
+        prefix: job.arrival.prefix,
+        prefix_tokens: job.arrival.prefix_tokens(),
+        imported: job.imported,
+    }
+}
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,110 @@
+//! Measures policies side by side, and slopes for the capacity page.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use measure::{
+    CapacityCurve,
+    MeasureError,
+    PolicyPlan,
+    RunFigures,
+    Scenario,
+    SiteModel,
+    format_figures,
+    make_workload,
+    oracle_figures,
+    run_plan, //
+};
+
+/// Drives the decision code against the engine model in virtual time.
+#[derive(FromArgs)]
+struct MeasureArgs {
+    /// scenario to run
+    #[argh(option, default = "String::from(\"shift\")")]
+    scenario: String,
+    /// site: crustwell or beauchemin
+    #[argh(option, default = "String::from(\"crustwell\")")]
+    site: String,
+    /// first seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds; figures are then means with their spread
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// offered load as a share of the measured capacity
+    #[argh(option, default = "0.9")]
+    load: f64,
+    /// one policy only
+    #[argh(option)]
+    policy: Option<String>,
+    /// print one JSON object a line for each policy
+    #[argh(switch)]
+    json: bool,
+    /// list scenarios, sites and policies
+    #[argh(switch)]
+    list: bool,
+}
+
+fn main() -> ExitCode {
+    let args: MeasureArgs = argh::from_env();
+    if args.list {
+        print_names();
+        return ExitCode::SUCCESS;
+    }
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn print_names() {
+    println!("scenarios: {}", Scenario::NAMES.join(" "));
+    println!("sites: {}", SiteModel::NAMES.join(" "));
+    let plans = PolicyPlan::all();
+    let names: Vec<&str> = plans.iter().map(|plan| plan.name).collect();
+    println!("policies: {} oracle", names.join(" "));
+}
+
+fn chosen_plans(args: &MeasureArgs) -> Result<Vec<PolicyPlan>, MeasureError> {
+    match args.policy.as_deref() {
+        Some("oracle") => Ok(Vec::new()),
+        Some(name) => Ok(vec![PolicyPlan::by_name(name)?]),
+        None => Ok(PolicyPlan::all()),
+    }
+}
+
+fn run(args: &MeasureArgs) -> Result<(), MeasureError> {
+    let site = SiteModel::by_name(&args.site)?;
+    let scenario = Scenario::by_name(&args.scenario)?;
+    let plans = chosen_plans(args)?;
+    let capacity = CapacityCurve::measure(&site);
+    let mut rows: Vec<Vec<RunFigures>> = vec![Vec::new(); plans.len() + 1];
+    for seed in args.seed..args.seed + args.seeds.max(1) {
+        let workload = make_workload(&site, &scenario, &capacity, args.load, seed);
+        for (row, plan) in rows.iter_mut().zip(&plans) {
+            row.push(run_plan(&site, &scenario, &workload, plan, seed));
+        }
+        rows[plans.len()].push(oracle_figures(&site, &scenario, &workload));
+    }
+    let means: Vec<RunFigures> = rows.iter().map(|runs| RunFigures::mean(runs)).collect();
+    if args.json {
+        for figures in &means {
+            println!("{}", serde_json::to_string(figures).unwrap_or_default());
+        }
+        return Ok(());
+    }
+    println!(
+        "{} at {}, load {}, seeds {}..{}, capacity {:.2} engine seconds a second at 26% prefill",
+        scenario.name,
+        args.site,
+        args.load,
+        args.seed,
+        args.seed + args.seeds.max(1) - 1,
+        capacity.work_rate(0.26),
+    );
+    print!("{}", format_figures(&means));
+    Ok(())
+}
--- /dev/null
+++ b/crates/measure/src/table.rs
@@ -0,0 +1,62 @@
+//! A table of all policies side by side.
+
+use policy::ServiceRank;
+
+use crate::RunFigures;
+
+/// Lays out the figures of several policies.
+pub fn format_figures(all: &[RunFigures]) -> String {
+    let mut text = format!(
+        "{:<18} {:>7} {:>7} {:>6} {:>7} {:>6} {:>6} {:>8}\n",
+        "policy", "goodput", "answers", "roles", "pauses", "waste", "cache", "at once"
+    );
+    for figures in all {
+        text += &format!(
+            "{:<18} {:>7.4} {:>7.4} {:>6} {:>7} {:>5.1}% {:>5.1}% {:>7.1}%\n",
+            figures.policy,
+            figures.goodput,
+            figures.goodput_unweighed,
+            figures.role_changes,
+            figures.pauses,
+            figures.wasted * 100.0,
+            figures.cache_hits * 100.0,
+            figures.refusals_at_once * 100.0,
+        );
+    }
+    text += &format!(
+        "\n{:<18} {:<9} {:>7} {:>7} {:>7} {:>7} {:>7} {:>6} {:>23} {:>20}\n",
+        "policy",
+        "rank",
+        "offered",
+        "target",
+        "late",
+        "slow",
+        "refused",
+        "work",
+        "first ms 50/95/99",
+        "gap ms 50/95/99"
+    );
+    for figures in all {
+        for rank in ServiceRank::ALL {
+            let own = &figures.ranks[rank];
+            text += &format!(
+                "{:<18} {:<9} {:>7} {:>6.2}% {:>6.2}% {:>6.2}% {:>6.2}% {:>5.1}% {:>23} {:>20}\n",
+                figures.policy,
+                rank.as_str(),
+                own.offered,
+                own.in_target * 100.0,
+                own.late * 100.0,
+                own.slow * 100.0,
+                own.refused * 100.0,
+                own.work_share * 100.0,
+                join(own.first_token_ms, 0),
+                join(own.gap_ms, 1),
+            );
+        }
+    }
+    text
+}
+
+fn join(values: [f64; 3], digits: usize) -> String {
+    values.map(|value| format!("{value:.digits$}")).join("/")
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -54,6 +54,7 @@
 pub use planner::RoleChange;
 pub use planner::RolePlanner;
 pub use profile::EngineProfile;
+pub use queue::FLOOR_TOTAL;
 pub use queue::RankQueue;
 pub use rank::RankMap;
 pub use rank::ServiceRank;
--- a/crates/policy/src/planner.rs
+++ b/crates/policy/src/planner.rs
@@ -100,6 +100,38 @@
         Some(change)
     }
 
+    /// Gives every engine a role for the mix of this moment, one change at a time and whatever it
+    /// costs; a baseline for measurements.
+    pub fn follow(&mut self, now: Instant, sights: &[EngineSight]) -> Option<RoleChange> {
+        self.observe(now, sights);
+        let share = self.prefill_share()?;
+        let wanted = (sights.len() as f64 * share).round().max(1.0) as usize;
+        let count = |role| sights.iter().filter(|sight| sight.role == role).count();
+        let (prefill, mixed) = (count(EngineRole::Prefill), count(EngineRole::Mixed));
+        let (from, to) = if prefill < wanted {
+            let from = if mixed > 0 {
+                EngineRole::Mixed
+            } else {
+                EngineRole::Decode
+            };
+            (from, EngineRole::Prefill)
+        } else if mixed > 0 {
+            (EngineRole::Mixed, EngineRole::Decode)
+        } else if prefill > wanted {
+            (EngineRole::Prefill, EngineRole::Decode)
+        } else {
+            return None;
+        };
+        let mut ready = sights.iter().filter(|sight| !sight.unavailable);
+        let instance = ready.find(|sight| sight.role == from)?.instance.clone();
+        Some(RoleChange {
+            instance,
+            role: to,
+            share,
+            gain: 0.0,
+        })
+    }
+
     fn observe(&mut self, now: Instant, sights: &[EngineSight]) {
         let mut prefill = 0.0;
         let mut decode = 0.0;
--- a/crates/policy/src/profile.rs
+++ b/crates/policy/src/profile.rs
@@ -54,13 +54,13 @@
 
     /// Most streams that may run so that a step stays within a gap.
     pub fn stream_limit(&self, gap: Duration, prefill: TokenCount) -> usize {
-        let fixed = self.step_time(prefill, 0);
-        let room = gap.saturating_sub(fixed).as_secs_f64();
         let factor = if prefill.0 > 0 {
             self.mixing_factor
         } else {
             1.0
         };
+        let prefill_part = f64::from(prefill.0) * self.prefill_seconds * factor;
+        let room = gap.as_secs_f64() - self.step_seconds - prefill_part;
         ((room / (self.decode_seconds * factor)) as usize).max(1)
     }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -13,6 +13,9 @@
 /// Time over which the service of each rank is remembered.
 const SHARE_WINDOW: Duration = Duration::from_secs(10);
 
+/// Share of the fleet that floors take together; the rest goes by rank.
+pub const FLOOR_TOTAL: f64 = 0.4;
+
 /// Serves ranks in order, but first those below their floor share.
 #[derive(Debug)]
 pub struct RankQueue<T> {
