policy: export the KV cache of paused streams, count the handoff in a start

Cause: in floods 10 to 14% of the work was computed twice: a paused stream computed its context again; engines that prefill only took work that no engine could take over. Change: a paused stream is resumed by import; the predicted start of an engine that prefills only includes the least wait among some that could take over.

--- a/crates/measure/src/sim.rs
+++ b/crates/measure/src/sim.rs
@@ -417,9 +417,7 @@
         let (refused, paused) = self.engines[engine].pump(self.now, &self.jobs);
         for job in paused {
             self.counts.pauses += 1;
-            let context = self.jobs[job].context().0;
-            self.jobs[job].recomputed += u64::from(context);
-            self.jobs[job].imported = false;
+            self.jobs[job].imported = true;
         }
         for job in refused {
             self.engines[engine].outstanding -= 1;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -38,6 +38,8 @@
 const SEND_DELAY: Duration = Duration::from_millis(5);
 /// Share of the prefill that is left when the prefix is cached.
 const CACHED_SHARE: f64 = 0.5;
+/// Part of the prefill time that an import of the KV cache takes.
+const IMPORT_SHARE: f64 = 0.04;
 /// Seconds of score for each second of decode work left.
 const DECODE_WEIGHT: f64 = 0.1;
 /// Seconds of score for a memory in full use.
@@ -216,11 +218,16 @@
         rng: &mut impl Rng,
     ) -> Result<RouteChoice, RouteRefusal> {
         let candidates = self.candidates(now, need, rng);
+        let handoff = self.handoff_wait(now, need, rng);
         let mut considered = Vec::with_capacity(candidates.len());
         let mut best: Option<(f64, Duration, bool, InstanceId)> = None;
         for instance in candidates {
             let cached = self.prefixes.get(&need.prefix) == Some(&instance);
-            let (score, predicted) = self.predict(&instance, need, cached);
+            let (mut score, mut predicted) = self.predict(&instance, need, cached);
+            if !self.views[&instance].report.role.generates() {
+                score += handoff.as_secs_f64();
+                predicted += handoff;
+            }
             considered.push((instance.clone(), predicted));
             if best.as_ref().is_none_or(|(least, ..)| score < *least) {
                 best = Some((score, predicted, cached, instance));
@@ -242,6 +249,25 @@
         })
     }
 
+    /// Least wait among some engines that could take over from one that prefills only.
+    fn handoff_wait(&self, now: Instant, need: &RouteNeed, rng: &mut impl Rng) -> Duration {
+        let count = self.slots.len();
+        if need.imports || count == 0 {
+            return Duration::ZERO;
+        }
+        let start = rng.random_range(0..count);
+        let order = (0..count).map(|step| &self.slots[(start + step * stride(count)) % count]);
+        let takes_over = RouteNeed {
+            imports: true,
+            ..need.clone()
+        };
+        let usable = order.filter(|instance| self.is_usable(now, instance, &takes_over));
+        let waits = usable
+            .take(SAMPLE_SIZE)
+            .map(|instance| self.predict(instance, need, true).1);
+        waits.min().unwrap_or(Duration::MAX / 4)
+    }
+
     fn candidates(&self, now: Instant, need: &RouteNeed, rng: &mut impl Rng) -> Vec<InstanceId> {
         let mut found = Vec::with_capacity(SAMPLE_SIZE + 1);
         if let Some(instance) = self.prefixes.get(&need.prefix)
@@ -295,11 +321,12 @@
         let view = &self.views[instance];
         let before = view.sent.iter().filter(|sent| sent.rank <= need.rank);
         let ahead = view.report.wait[need.rank].0 + before.map(|sent| sent.start).sum::<f64>();
-        let own = if cached {
-            need.start_work.0 * CACHED_SHARE
-        } else {
-            need.start_work.0
-        };
+        let own = need.start_work.0
+            * match (need.imports, cached) {
+                (true, _) => IMPORT_SHARE,
+                (false, true) => CACHED_SHARE,
+                (false, false) => 1.0,
+            };
         let mut start = ahead + own;
         if view.centre != self.home {
             start += REMOTE_PENALTY.as_secs_f64();
--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -339,7 +339,7 @@
         spec.context.0 += job.produced;
         spec.output.0 = job.output_left().max(1);
         spec.resumed = true;
-        spec.imported = false;
+        spec.imported = true;
         self.queue.push_front(spec.rank, spec);
     }
 
