policy: prefill engines for the least share of prefill only, the rest mixed

Change: as many prefill engines as the least share in five minutes keeps busy, bounded by the fleet; streams of the two upper ranks are never paused.

--- a/crates/policy/src/planner.rs
+++ b/crates/policy/src/planner.rs
@@ -16,7 +16,7 @@
 
 /// Time over which the mix of work is averaged.
 const MIX_WINDOW: Duration = Duration::from_secs(10);
-/// Time over which the lowest and highest share of prefill are kept.
+/// Time over which the lowest share of prefill is kept.
 const RANGE_WINDOW: Duration = Duration::from_secs(300);
 /// Time for which a change must pay.
 const HORIZON: Duration = Duration::from_secs(120);
@@ -26,8 +26,8 @@
 const SPECIALIST_GAIN: f64 = 0.08;
 /// Gain that a change must have beyond its cost, as a factor.
 const GAIN_FACTOR: f64 = 2.0;
-/// Part of the lowest demand that specialists may serve.
-const SPECIALIST_SHARE: f64 = 0.7;
+/// Part of the lowest demand for prefill that specialists may serve.
+const SPECIALIST_SHARE: f64 = 1.0;
 
 /// What a planner sees of an engine.
 #[derive(Debug, Clone, PartialEq)]
@@ -171,22 +171,20 @@
 
     fn choose(&self, sights: &[EngineSight]) -> Option<RoleChange> {
         let share = self.prefill_share()?;
-        let load = self.prefill_rate + self.decode_rate;
-        let shares = || self.history.iter().map(|sample| sample.share);
-        let least = shares().fold(share, f64::min);
-        let most = shares().fold(share, f64::max);
-        let wanted_prefill = (load * least * SPECIALIST_SHARE).floor() as usize;
-        let wanted_decode = (load * (1.0 - most) * SPECIALIST_SHARE).floor() as usize;
+        // Work that was refused counts as asked for, but no fleet serves more than its engines.
+        let load = (self.prefill_rate + self.decode_rate).min(sights.len() as f64);
+        let shares = self.history.iter().map(|sample| sample.share);
+        let least = shares.fold(share, f64::min);
+        let wanted = (load * least * SPECIALIST_SHARE).floor() as usize;
         let count = |role| sights.iter().filter(|sight| sight.role == role).count();
-        let (prefill, decode) = (count(EngineRole::Prefill), count(EngineRole::Decode));
-        let role = if prefill > wanted_prefill + 1 {
-            (EngineRole::Prefill, EngineRole::Mixed)
-        } else if decode > wanted_decode + 1 {
+        let prefill = count(EngineRole::Prefill);
+        let role = if count(EngineRole::Decode) > 0 {
+            // Mixed engines absorb swings that would strand engines which only generate.
             (EngineRole::Decode, EngineRole::Mixed)
-        } else if prefill < wanted_prefill && decode >= prefill.min(wanted_decode) {
+        } else if prefill > wanted + 1 {
+            (EngineRole::Prefill, EngineRole::Mixed)
+        } else if prefill < wanted {
             (EngineRole::Mixed, EngineRole::Prefill)
-        } else if decode < wanted_decode {
-            (EngineRole::Mixed, EngineRole::Decode)
         } else {
             return None;
         };
--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -35,6 +35,8 @@
 
 /// Part of the gap target that steps may take; the rest is for what prediction misses.
 const GAP_MARGIN: f64 = 0.75;
+/// First rank whose streams are paused; the gap targets of those above leave no time for it.
+const LEAST_PAUSED: ServiceRank = ServiceRank::Patient;
 /// Wait that is predicted when no end of the running jobs makes room.
 const LONGEST_WAIT: Duration = Duration::from_secs(86_400);
 /// Size of the job for which reports predict waits.
@@ -394,7 +396,7 @@
 
     /// A stream may be paused for a more urgent rank while its own keeps its floor of memory.
     fn is_pausable(&self, job: &RunningJob, rank: ServiceRank) -> bool {
-        if job.spec.rank <= rank || job.spec.alone {
+        if job.spec.rank <= rank || job.spec.rank < LEAST_PAUSED || job.spec.alone {
             return false;
         }
         let same = self
