policy: admit with a margin on the predicted start

Cause: in floods a third of the refusals came only after a wait; admitted jobs were shed as soon as the prediction drifted by a little. Change: a job is admitted when 1.25 times its predicted start meets the target. Conclusion: kept; lower ranks that are overtaken by a flood are still refused late.

--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -35,6 +35,8 @@
 
 /// Part of the gap target that steps may take; the rest is for what prediction misses.
 const GAP_MARGIN: f64 = 0.75;
+/// Factor on predicted starts when a job is admitted, so that few admitted jobs are refused later.
+const ADMIT_MARGIN: f64 = 1.25;
 /// First rank whose streams are paused; the gap targets of those above leave no time for it.
 const LEAST_PAUSED: ServiceRank = ServiceRank::Patient;
 /// Wait that is predicted when no end of the running jobs makes room.
@@ -145,7 +147,8 @@
             return Err(RefusalReason::QueueFull);
         }
         let wait = self.predicted_wait(spec.rank, self.pieces_of(&spec), spec.gap);
-        if now + wait + self.prefill_time(&spec) > spec.due {
+        let start = wait + self.prefill_time(&spec);
+        if now + start.mul_f64(ADMIT_MARGIN) > spec.due {
             return Err(RefusalReason::WouldMiss);
         }
         self.queue.push_back(spec.rank, spec);
