side: export a paused stream's KV cache; demo: whole answers under failure

Cause: the side process cancelled what it paused, so that its context was computed again; no test had broken anything on the way of an answer. Change: paused streams end with the handle of their KV cache and resume by it.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -28,7 +28,8 @@
 
 /// Operates galenarail: states targets for classes of work, and empties instances for planned
 /// stops. Engines and weights are the system's own business.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub struct OperatorArgs {
     /// address of the platform's key-value service
     #[argh(option)]
@@ -40,7 +41,8 @@
     command: OperatorCommand,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum OperatorCommand {
     Account(AccountArgs),
--- a/crates/cli/src/commands/account.rs
+++ b/crates/cli/src/commands/account.rs
@@ -23,14 +23,16 @@
 const KEY_BYTES: usize = 24;
 
 /// add, list and remove callers' accounts
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "account")]
 pub(crate) struct AccountArgs {
     #[argh(subcommand)]
     action: AccountAction,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum AccountAction {
     Add(AddArgs),
@@ -39,7 +41,8 @@
 }
 
 /// add an account, or give it a new key, and print the key once
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "add")]
 struct AddArgs {
     /// name of the account
@@ -54,12 +57,14 @@
 }
 
 /// list the accounts
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "list")]
 struct ListArgs {}
 
 /// remove an account
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "remove")]
 struct RemoveArgs {
     /// name of the account
--- a/crates/cli/src/commands/class.rs
+++ b/crates/cli/src/commands/class.rs
@@ -25,14 +25,16 @@
 const NEW_GAP_MS: u32 = 150;
 
 /// show and state the targets of classes of work
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "class")]
 pub(crate) struct ClassArgs {
     #[argh(subcommand)]
     action: ClassAction,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum ClassAction {
     List(ListArgs),
@@ -42,12 +44,14 @@
 }
 
 /// list all classes
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "list")]
 struct ListArgs {}
 
 /// show one class
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "show")]
 struct ShowArgs {
     /// name of the class
@@ -56,7 +60,8 @@
 }
 
 /// create a class, or change what is named of it
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "set")]
 struct SetArgs {
     /// name of the class
@@ -83,7 +88,8 @@
 }
 
 /// remove a class
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "remove")]
 struct RemoveArgs {
     /// name of the class
--- a/crates/cli/src/commands/config.rs
+++ b/crates/cli/src/commands/config.rs
@@ -19,14 +19,16 @@
 };
 
 /// show, check and replace the configuration
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "config")]
 pub(crate) struct ConfigArgs {
     #[argh(subcommand)]
     action: ConfigAction,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum ConfigAction {
     Show(ShowArgs),
@@ -36,17 +38,20 @@
 }
 
 /// show the configuration in force
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "show")]
 struct ShowArgs {}
 
 /// list the latest changes
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "history")]
 struct HistoryArgs {}
 
 /// check a file without applying it
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "validate")]
 struct ValidateArgs {
     /// path of the JSON file
@@ -55,7 +60,8 @@
 }
 
 /// replace classes, models, services and accounts by those of a file
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "apply")]
 struct ApplyArgs {
     /// path of the JSON file
--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -12,7 +12,8 @@
 };
 
 /// empty an instance for a planned stop; its work finishes, and it gets no new work
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "drain")]
 pub(crate) struct DrainArgs {
     /// instance to empty
@@ -21,7 +22,8 @@
 }
 
 /// give work to a drained instance again
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "undrain")]
 pub(crate) struct UndrainArgs {
     /// instance to take back
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -26,7 +26,8 @@
 const ASK_TIME: Duration = Duration::from_secs(2);
 
 /// show what is in force, and how entries and instances are
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 pub(crate) struct StatusArgs {
     /// address of the platform's list of instances
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -8,7 +8,8 @@
 use units::ConfigVersion;
 
 /// Why a command failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum CliError {
     /// The store gave no answer.
--- a/crates/conf/src/account.rs
+++ b/crates/conf/src/account.rs
@@ -16,7 +16,8 @@
 use crate::check::require_range;
 
 /// SHA-256 digest of a caller's key.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyDigest([u8; 32]);
 
@@ -60,7 +61,8 @@
 }
 
 /// Limits of an account and the digest of its key.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AccountRule {
     /// Digest of the account's key.
--- a/crates/conf/src/book.rs
+++ b/crates/conf/src/book.rs
@@ -40,7 +40,8 @@
 const HISTORY_LIMIT: usize = 64;
 
 /// Calls of one plain service.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceRule {
     /// Calls by name.
@@ -48,7 +49,8 @@
 }
 
 /// Everything operators state, with its version.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigBook {
     /// Version; each accepted change adds one.
--- a/crates/conf/src/call.rs
+++ b/crates/conf/src/call.rs
@@ -9,7 +9,8 @@
 use crate::check::require_range;
 
 /// Whether a call may be repeated, and how long it may take.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallRule {
     /// Whether running it twice does no harm.
--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -7,7 +7,8 @@
 use units::ConfigVersion;
 
 /// Which write made a version, and what it changed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChangeRecord {
     /// Version that the change made.
--- a/crates/conf/src/class.rs
+++ b/crates/conf/src/class.rs
@@ -13,7 +13,8 @@
 use crate::check::require_range;
 
 /// What operators state for a class of work.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClassTarget {
     /// Rank of the class.
--- a/crates/conf/src/entry.rs
+++ b/crates/conf/src/entry.rs
@@ -23,7 +23,8 @@
 };
 
 /// Settings of an entry daemon, from its JSON file.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// Instance that the entry runs on.
--- a/crates/conf/src/error.rs
+++ b/crates/conf/src/error.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why settings or a configuration were refused.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum ConfError {
     /// The file can't be read.
--- a/crates/conf/src/limits.rs
+++ b/crates/conf/src/limits.rs
@@ -12,7 +12,8 @@
 };
 
 /// Bounds on callers' connections, requests and time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EntryLimits {
     /// Connections of callers at a time.
--- a/crates/conf/src/secret.rs
+++ b/crates/conf/src/secret.rs
@@ -10,7 +10,8 @@
 const LEAST_SECRET_BYTES: usize = 16;
 
 /// A secret in hexadecimal, hidden from logs.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct SecretText(Vec<u8>);
 
--- a/crates/conf/src/side.rs
+++ b/crates/conf/src/side.rs
@@ -23,7 +23,8 @@
 };
 
 /// What the backend server beside the process is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum BackendKind {
     /// A model engine.
@@ -39,7 +40,8 @@
 }
 
 /// Settings of a side process, from its JSON file.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SideSettings {
     /// Instance that the process and its backend server run on.
--- a/crates/demo/src/options.rs
+++ b/crates/demo/src/options.rs
@@ -28,6 +28,8 @@
     pub list_lag: Duration,
     /// Bounds on callers.
     pub limits: EntryLimits,
+    /// Whether entries reach side processes through relays that can go silent.
+    pub relays: bool,
     /// Directory for log files; no logs when absent.
     pub log_dir: Option<PathBuf>,
     /// Whether logs are kept in memory.
@@ -46,6 +48,7 @@
             checks_fencing: true,
             list_lag: Duration::ZERO,
             limits: EntryLimits::default(),
+            relays: false,
             log_dir: None,
             keep_logs: false,
         }
--- a/crates/demo/src/site.rs
+++ b/crates/demo/src/site.rs
@@ -21,7 +21,8 @@
     FakeEngineSettings,
     FakePlatform,
     FakeService,
-    FakeStore, //
+    FakeStore,
+    SilentRelay, //
 };
 use logs::LogSink;
 use policy::EngineRole;
@@ -72,6 +73,8 @@
     pub services: BTreeMap<InstanceId, FakeService>,
     /// Side processes by instance.
     pub sides: BTreeMap<InstanceId, SideNode>,
+    /// Relays before side processes, where asked for.
+    pub relays: BTreeMap<InstanceId, SilentRelay>,
     /// Entries; a stopped one is absent.
     pub entries: Vec<Option<EntryDaemon>>,
     /// Logs of the entries.
@@ -105,6 +108,7 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             sides: BTreeMap::new(),
+            relays: BTreeMap::new(),
             entries: Vec::new(),
             entry_logs: Vec::new(),
             options,
@@ -282,10 +286,16 @@
             },
         );
         self.start_side(&instance).await?;
+        let mut address = self.sides[&instance].settings.listen;
+        if self.options.relays {
+            let relay = SilentRelay::start(address).await?;
+            address = relay.address();
+            self.relays.insert(instance.clone(), relay);
+        }
         let record = InstanceRecord {
             instance: instance.clone(),
             data_centre,
-            address: self.sides[&instance].settings.listen,
+            address,
             kind: ProcessKind::Side,
             state: InstanceState::Live,
         };
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why an entry did not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum EntryError {
     /// The callers' address is in use or not local.
--- a/crates/fakes/src/engine_http.rs
+++ b/crates/fakes/src/engine_http.rs
@@ -260,6 +260,36 @@
     }
 }
 
+/// Ends a stream and exports its KV cache, from which it can be resumed.
+fn pause(shared: &SharedEngine, body: &[u8]) -> Response<ReplyBody> {
+    #[derive(Deserialize)]
+    struct PauseCall {
+        stream: u64,
+    }
+    let Ok(call) = serde_json::from_slice::<PauseCall>(body) else {
+        return json_reply(StatusCode::BAD_REQUEST, "{}");
+    };
+    let key = StreamKey(call.stream);
+    let mut state = shared.lock();
+    let Some(stream) = state.streams.remove(&key) else {
+        return json_reply(StatusCode::NOT_FOUND, "{}");
+    };
+    state.model.cancel(key);
+    let line = finish_line("paused", &kv_handle(&stream));
+    // A reader that is gone needs no end.
+    let _ = stream.sender.try_send(line.into());
+    json_reply(StatusCode::OK, "{}")
+}
+
+fn kv_handle(stream: &StreamState) -> String {
+    format!("kv-{:016x}-{}", stream.hash, stream.next)
+}
+
+fn finish_line(reason: &str, handle: &str) -> String {
+    let event = format!("{{\"finish_reason\":\"{reason}\",\"kv_handle\":\"{handle}\"}}");
+    format!("data: {event}\n\ndata: [DONE]\n\n")
+}
+
 fn end_line(end: StreamEnd, stream: &StreamState) -> String {
     let reason = match end {
         StreamEnd::Finished if stream.next >= stream.total => "length",
@@ -267,17 +297,15 @@
         StreamEnd::Handoff => "handoff",
         StreamEnd::Interrupted => "interrupted",
     };
-    let handle = if end == StreamEnd::Handoff {
-        format!("kv-{:016x}-{}", stream.hash, stream.next)
-    } else {
-        String::new()
+    let handle = match end {
+        StreamEnd::Handoff => kv_handle(stream),
+        _ => String::new(),
     };
-    format!(
-        "data: {{\"finish_reason\":\"{reason}\",\"kv_handle\":\"{handle}\"}}\n\ndata: [DONE]\n\n"
-    )
+    finish_line(reason, &handle)
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct CompletionCall {
     model: ModelName,
     prompt: String,
@@ -291,7 +319,8 @@
     kv_handle: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EngineInfo<'a> {
     profile: &'a EngineProfile,
     role: EngineRole,
@@ -312,6 +341,7 @@
     match (method, path.as_str()) {
         (Method::POST, "/v1/completions") => complete(&shared, &body),
         (Method::GET, "/v1/engine") => show(&shared),
+        (Method::POST, "/v1/engine/pause") => pause(&shared, &body),
         (Method::POST, "/v1/engine/role") => {
             let text = fencing.as_ref().and_then(|value| value.to_str().ok());
             let epoch = text.and_then(|text| text.parse().ok()).unwrap_or_default();
@@ -417,6 +447,9 @@
         total: call.max_tokens,
         sender,
     };
+    // The channel is empty and holds this first event.
+    let first = format!("data: {{\"stream\":{}}}\n\n", key.0);
+    let _ = stream.sender.try_send(first.into());
     state.streams.insert(key, stream);
     state.model.submit(spec);
     drop(state);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 mod kv_state;
 mod order_log;
 mod platform;
+mod relay;
 mod server;
 mod service;
 
@@ -25,5 +26,6 @@
 pub use order_log::OrderEntry;
 pub use order_log::check_orders;
 pub use platform::FakePlatform;
+pub use relay::SilentRelay;
 pub use service::FakeService;
 pub use service::ServiceFaults;
--- a/crates/logs/src/decision.rs
+++ b/crates/logs/src/decision.rs
@@ -4,7 +4,8 @@
 use units::InstanceId;
 
 /// What was decided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DecisionKind {
     /// A request was given to a backend server.
@@ -42,7 +43,8 @@
 }
 
 /// One decision with what was considered and why.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct DecisionRecord {
     kind: DecisionKind,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/logs/src/error.rs
+++ b/crates/logs/src/error.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why the log could not be set up.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum LogError {
     /// The file can't be written.
--- a/crates/measure/src/error.rs
+++ b/crates/measure/src/error.rs
@@ -3,7 +3,8 @@
 use snafu::Snafu;
 
 /// Why an experiment did not run.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum MeasureError {
     /// A name is not known.
--- a/crates/measure/src/figures.rs
+++ b/crates/measure/src/figures.rs
@@ -23,7 +23,8 @@
 const REFUSAL_LIMIT_MS: f64 = 50.0;
 
 /// Figures of one rank.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct RankFigures {
     /// Requests.
     pub offered: usize,
@@ -48,7 +49,8 @@
 }
 
 /// Figures of one policy in one run.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct RunFigures {
     /// Policy.
     pub policy: &'static str,
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -23,7 +23,8 @@
 const SHARD_LIMIT: usize = 2_500;
 
 /// Digest of an account, a call and a caller's key.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ClaimKey(String);
 
@@ -51,7 +52,8 @@
 }
 
 /// What a key is bound to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// Ticket in its text form.
     pub ticket: String,
@@ -84,7 +86,8 @@
 }
 
 /// One shard's claims, as the store keeps them.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClaimShard {
     claims: BTreeMap<ClaimKey, ClaimRecord>,
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -27,7 +27,8 @@
 }
 
 /// Why an order has no effect.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum OrderRefusal {
     /// The order is for an earlier or later run of the side.
     #[snafu(display("order for incarnation {given}, this is {own}; read its reports again"))]
--- a/crates/policy/src/profile.rs
+++ b/crates/policy/src/profile.rs
@@ -12,7 +12,8 @@
 };
 
 /// Memory and nominal step times of an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineProfile {
     /// KV memory in pieces.
     pub pieces: PieceCount,
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -9,7 +9,8 @@
 };
 
 /// Rank of a class of work; a smaller rank is served first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ServiceRank {
     /// Somebody is standing there and waits.
@@ -60,14 +61,16 @@
 }
 
 /// A text that names no rank.
-#[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 #[snafu(display("no rank {text:?}; use urgent, ordinary or patient"))]
 pub struct RankError {
     text: String,
 }
 
 /// One value for each rank.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RankMap<T>([T; 3]);
 
 impl<T> RankMap<T> {
--- a/crates/policy/src/role.rs
+++ b/crates/policy/src/role.rs
@@ -9,7 +9,8 @@
 };
 
 /// What an engine spends its steps on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum EngineRole {
     /// Prefill in chunks beside the running streams.
@@ -60,7 +61,8 @@
 }
 
 /// A text that names no role.
-#[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 #[snafu(display("no engine role {text:?}; use mixed, prefill or decode"))]
 pub struct RoleError {
     text: String,
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -88,7 +88,8 @@
 }
 
 /// A text that is no ticket.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("this is no ticket; present it as it was given out"))]
 pub struct TicketError;
 
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -89,10 +89,15 @@
         self.changed.notify_waiters();
     }
 
-    fn start_job(self: &Arc<Self>, state: &mut SideState, key: JobKey) {
+    pub(crate) fn start_job(self: &Arc<Self>, state: &mut SideState, key: JobKey) {
         let Some(job) = state.jobs.get_mut(&key) else {
             return;
         };
+        if job.task.is_some() {
+            // Its pause is not over yet.
+            job.restart = true;
+            return;
+        }
         job.starts += 1;
         let starts = job.starts;
         let run = job.run.clone();
@@ -107,9 +112,18 @@
         let Some(job) = state.jobs.get_mut(&key) else {
             return;
         };
-        job.abort();
-        job.starts += 1;
-        job.run.kv_handle.clear();
+        job.restart = false;
+        match job.stream.take() {
+            Some(stream) => {
+                let engine = self.engine;
+                tokio::spawn(async move { engine.pause(stream).await });
+            }
+            None => {
+                job.abort();
+                job.starts += 1;
+                job.run.kv_handle.clear();
+            }
+        }
         self.metrics.paused.inc();
         let record = DecisionRecord::new(DecisionKind::Pause, "more urgent work needs its room")
             .request(hex::encode(&job.run.request))
--- a/crates/side/src/engine_client.rs
+++ b/crates/side/src/engine_client.rs
@@ -35,7 +35,8 @@
 const REPLY_LIMIT_BYTES: usize = 64 * 1_024;
 
 /// What an engine says of itself.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub(crate) struct EngineInfo {
     pub(crate) profile: EngineProfile,
     pub(crate) role: EngineRole,
@@ -45,7 +46,8 @@
 }
 
 /// A completion as the engine takes it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct EngineCall<'a> {
     pub(crate) model: &'a str,
     pub(crate) prompt: &'a str,
@@ -59,9 +61,12 @@
 }
 
 /// One event of an engine's stream.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(crate) struct EngineEvent {
+    /// Number of the stream on the engine, in its first event.
+    pub(crate) stream: Option<u64>,
     pub(crate) text: String,
     pub(crate) tokens: u32,
     pub(crate) finish_reason: Option<String>,
@@ -101,6 +106,14 @@
         open_call(call, OPEN_TIME).await
     }
 
+    /// Asks the engine to end a stream and to export its KV cache. The stream tells the rest.
+    pub(crate) async fn pause(&self, stream: u64) {
+        let body = format!("{{\"stream\":{stream}}}");
+        let call = HttpCall::new(self.address, Method::POST, "/v1/engine/pause").body(body);
+        // A stream that can't be paused goes on, which costs room but loses nothing.
+        let _ = send_call(call, REPLY_LIMIT_BYTES, CALL_TIME).await;
+    }
+
     pub(crate) async fn order(&self, epoch: EpochNumber, role: EngineRole) -> OrderReply {
         let body = format!("{{\"role\":\"{role}\"}}");
         let call = HttpCall::new(self.address, Method::POST, "/v1/engine/role")
--- a/crates/side/src/error.rs
+++ b/crates/side/src/error.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why a side process did not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum SideError {
     /// An address is in use or not local.
--- a/crates/side/src/job.rs
+++ b/crates/side/src/job.rs
@@ -33,6 +33,10 @@
     /// Counts the starts on the engine; events of an earlier start are dropped.
     pub(crate) starts: u64,
     pub(crate) task: Option<AbortHandle>,
+    /// Number of its stream on the engine, once known.
+    pub(crate) stream: Option<u64>,
+    /// Whether it starts again once its pause is over.
+    pub(crate) restart: bool,
 }
 
 impl SideJob {
@@ -45,6 +49,8 @@
             sender,
             starts: 0,
             task: None,
+            stream: None,
+            restart: false,
         }
     }
 
--- a/crates/side/src/run.rs
+++ b/crates/side/src/run.rs
@@ -23,8 +23,12 @@
     EngineCall,
     EngineEvent, //
 };
+use crate::job::SideJob;
 use crate::sse::EventReader;
-use crate::state::SideShared;
+use crate::state::{
+    SideShared,
+    SideState, //
+};
 
 /// Gaps between tokens after which a stream counts as silent.
 const SILENT_GAPS: u32 = 20;
@@ -38,6 +42,8 @@
 /// How one start of a job ended, as far as the engine told.
 enum RunEnd {
     Finished(FinishCode, String),
+    /// It was paused; the handle of its KV cache.
+    Paused(String),
     /// The engine did not take it.
     NotRun,
     /// The stream broke.
@@ -130,10 +136,16 @@
             let Ok(event) = serde_json::from_slice::<EngineEvent>(&event) else {
                 return RunEnd::Broken;
             };
+            if let Some(stream) = event.stream {
+                shared.note_stream(key, starts, stream);
+            }
             if event.tokens > 0 {
                 silence = limits.gap;
                 shared.pass_tokens(key, starts, &event);
             }
+            if event.finish_reason.as_deref() == Some("paused") {
+                return RunEnd::Paused(event.kv_handle);
+            }
             if let Some(reason) = event.finish_reason {
                 return RunEnd::Finished(finish_code(&reason), event.kv_handle);
             }
@@ -151,6 +163,27 @@
 }
 
 impl SideShared {
+    fn note_stream(&self, key: JobKey, starts: u64, stream: u64) {
+        let mut state = self.lock();
+        if let Some(job) = state.jobs.get_mut(&key)
+            && job.starts == starts
+        {
+            job.stream = Some(stream);
+        }
+    }
+
+    /// Keeps a paused job for its next start.
+    fn end_pause(self: &Arc<Self>, state: &mut SideState, key: JobKey, handle: String) {
+        let Some(job) = state.jobs.get_mut(&key) else {
+            return;
+        };
+        job.task = None;
+        job.run.kv_handle = handle;
+        if std::mem::take(&mut job.restart) {
+            self.start_job(state, key);
+        }
+    }
+
     fn pass_tokens(self: &Arc<Self>, key: JobKey, starts: u64, event: &EngineEvent) {
         let mut state = self.lock();
         let Some(job) = state.jobs.get_mut(&key) else {
@@ -173,20 +206,26 @@
         if state.jobs.get(&key).is_none_or(|job| job.starts != starts) {
             return;
         }
-        let Some(job) = remove_job(&mut state, key) else {
-            return;
-        };
+        if let RunEnd::Paused(handle) = end {
+            self.end_pause(&mut state, key, handle);
+        } else if let Some(job) = remove_job(&mut state, key) {
+            self.tell_end(&mut state, &job, end);
+        }
+        self.pump(&mut state);
+    }
+
+    fn tell_end(&self, state: &mut SideState, job: &SideJob, end: RunEnd) {
+        let unchanged = job.offset == job.run.offset;
         match end {
             RunEnd::Finished(code, handle) => job.end(code, handle),
-            RunEnd::NotRun if job.offset == job.run.offset => {
-                job.refuse(RefusalReason::EngineDown, RETRY_AFTER_MS);
-            }
-            RunEnd::NotRun | RunEnd::Silent => job.end(FinishCode::Interrupted, String::new()),
+            RunEnd::NotRun if unchanged => job.refuse(RefusalReason::EngineDown, RETRY_AFTER_MS),
             RunEnd::Broken => {
-                self.note_crash(&mut state, &job);
+                self.note_crash(state, job);
                 job.end(FinishCode::Crashed, String::new());
             }
+            RunEnd::NotRun | RunEnd::Silent | RunEnd::Paused(_) => {
+                job.end(FinishCode::Interrupted, String::new());
+            }
         }
-        self.pump(&mut state);
     }
 }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -3,7 +3,8 @@
 use snafu::Snafu;
 
 /// Why a call of the store gave no answer.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StoreError {
     /// The call was not sent; it had no effect.
--- a/crates/store/src/instances.rs
+++ b/crates/store/src/instances.rs
@@ -28,7 +28,8 @@
 const LIST_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Which process of the system runs on an instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ProcessKind {
     /// An entry.
@@ -38,7 +39,8 @@
 }
 
 /// What the platform says of an instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum InstanceState {
     /// It runs.
@@ -48,7 +50,8 @@
 }
 
 /// One instance of the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceRecord {
     /// Its id.
     pub instance: InstanceId,
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -22,7 +22,8 @@
 };
 
 /// A session, the store's form of a lease.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct SessionId(pub String);
 
@@ -44,7 +45,8 @@
 }
 
 /// A value as the interface shows it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct ValueRecord {
     /// Key.
@@ -59,7 +61,8 @@
 }
 
 /// Answer to the creation of a session.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SessionRecord {
     /// Id of the session.
     #[serde(rename = "ID")]
@@ -67,7 +70,8 @@
 }
 
 /// Asks for a session.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct SessionRequest {
     /// Name for people.
--- /dev/null
+++ b/crates/testutils/src/caller.rs
@@ -0,0 +1,169 @@
+//! Sends requests to an entry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Method;
+use serde_json::json;
+use web::{
+    HttpCall,
+    WebError,
+    open_call,
+    send_call, //
+};
+
+use crate::StreamedAnswer;
+
+const CALL_TIME: Duration = Duration::from_secs(600);
+const REPLY_LIMIT_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// A reply that was read whole.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallerReply {
+    /// HTTP status, 0 when the connection broke.
+    pub status: u16,
+    /// Body as JSON, null when it is none.
+    pub body: serde_json::Value,
+}
+
+impl CallerReply {
+    fn from_result(result: Result<web::HttpReply, WebError>) -> Self {
+        match result {
+            Ok(reply) => Self {
+                status: reply.status.as_u16(),
+                body: serde_json::from_slice(&reply.body).unwrap_or_default(),
+            },
+            Err(_) => Self {
+                status: 0,
+                body: serde_json::Value::Null,
+            },
+        }
+    }
+
+    /// Whether the entry said that nothing was run.
+    pub fn says_not_run(&self) -> bool {
+        self.body["error"]["not_run"] == json!(true)
+    }
+
+    /// Code of the error.
+    pub fn code(&self) -> &str {
+        self.body["error"]["code"].as_str().unwrap_or_default()
+    }
+
+    /// Text of a completion.
+    pub fn text(&self) -> &str {
+        self.body["choices"][0]["text"].as_str().unwrap_or_default()
+    }
+}
+
+/// A caller of one entry.
+#[derive(Debug, Clone)]
+pub struct SiteCaller {
+    address: SocketAddr,
+    bearer: Option<String>,
+}
+
+impl SiteCaller {
+    /// A caller without an account.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            bearer: None,
+        }
+    }
+
+    /// A caller with a key.
+    #[must_use]
+    pub fn bearer(mut self, key: &str) -> Self {
+        self.bearer = Some(format!("Bearer {key}"));
+        self
+    }
+
+    fn post(&self, path: &str, body: impl Into<Bytes>) -> HttpCall {
+        let call = HttpCall::new(self.address, Method::POST, path).body(body);
+        match &self.bearer {
+            Some(key) => call.header("authorization", key),
+            None => call,
+        }
+    }
+
+    /// Sends any body to any path.
+    pub async fn send(&self, path: &str, body: impl Into<Bytes>) -> CallerReply {
+        let call = self.post(path, body);
+        CallerReply::from_result(send_call(call, REPLY_LIMIT_BYTES, CALL_TIME).await)
+    }
+
+    /// Reads a path.
+    pub async fn get(&self, path: &str) -> (u16, String) {
+        let call = HttpCall::new(self.address, Method::GET, path);
+        match send_call(call, REPLY_LIMIT_BYTES, CALL_TIME).await {
+            Ok(reply) => {
+                let text = String::from_utf8_lossy(&reply.body).into_owned();
+                (reply.status.as_u16(), text)
+            }
+            Err(_) => (0, String::new()),
+        }
+    }
+
+    fn completion(&self, class: &str, prompt: &str, tokens: u32, stream: bool) -> HttpCall {
+        let body = json!({
+            "model": "assistant",
+            "prompt": prompt,
+            "max_tokens": tokens,
+            "stream": stream,
+        });
+        self.post("/v1/completions", body.to_string())
+            .header("x-request-class", class)
+    }
+
+    /// Asks for a whole answer.
+    pub async fn complete(&self, class: &str, prompt: &str, tokens: u32) -> CallerReply {
+        let call = self.completion(class, prompt, tokens, false);
+        CallerReply::from_result(send_call(call, REPLY_LIMIT_BYTES, CALL_TIME).await)
+    }
+
+    /// Asks for a streamed answer and reads it to its end.
+    pub async fn stream(&self, class: &str, prompt: &str, tokens: u32) -> StreamedAnswer {
+        let call = self.completion(class, prompt, tokens, true);
+        let mut answer = StreamedAnswer::default();
+        let Ok(reply) = open_call(call, CALL_TIME).await else {
+            return answer;
+        };
+        answer.status = reply.status().as_u16();
+        let mut body = reply.into_body();
+        let mut buffer = String::new();
+        while let Some(Ok(frame)) = body.frame().await {
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            buffer.push_str(&String::from_utf8_lossy(data));
+            while let Some(end) = buffer.find("\n\n") {
+                let event: String = buffer.drain(..end + 2).collect();
+                let data = event.trim_end().strip_prefix("data: ");
+                answer.take_event(data.unwrap_or_default());
+            }
+        }
+        if answer.status != 200 {
+            answer.error = serde_json::from_str(&buffer).ok();
+        }
+        answer
+    }
+
+    /// Makes a call of the service `orders`, under a key where one is given.
+    pub async fn order(&self, call: &str, key: Option<&str>, body: &str) -> CallerReply {
+        let mut request = self.post(&format!("/v1/services/orders/{call}"), body.to_owned());
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        CallerReply::from_result(send_call(request, REPLY_LIMIT_BYTES, CALL_TIME).await)
+    }
+
+    /// Gets a ticket for a call of the service `orders`.
+    pub async fn ticket(&self, call: &str) -> Option<String> {
+        let path = format!("/v1/services/orders/{call}/tickets");
+        let reply = self.send(&path, "{}").await;
+        reply.body["ticket"].as_str().map(str::to_owned)
+    }
+}
--- /dev/null
+++ b/crates/testutils/src/lib.rs
@@ -0,0 +1,8 @@
+//! A caller for tests: sends requests and records what came back.
+
+mod answer;
+mod caller;
+
+pub use answer::StreamedAnswer;
+pub use caller::CallerReply;
+pub use caller::SiteCaller;
--- a/crates/units/src/error.rs
+++ b/crates/units/src/error.rs
@@ -3,7 +3,8 @@
 use snafu::Snafu;
 
 /// Why a text is not a valid id, size or rate.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum UnitError {
     /// The text has no characters.
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why an HTTP exchange failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum WebError {
     /// No connection came about; nothing was sent.
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why a link failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum WireError {
     /// No connection came about.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -22,7 +22,8 @@
 };
 
 /// Sent first, by the process that accepted the connection.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Challenge {
     /// Protocol version.
     #[prost(uint32, tag = "1")]
@@ -33,7 +34,8 @@
 }
 
 /// Proof of the connecting process.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Hello {
     /// Protocol version.
     #[prost(uint32, tag = "1")]
@@ -53,7 +55,8 @@
 }
 
 /// Proof of the process that accepted the connection.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Welcome {
     /// Instance of the sender.
     #[prost(string, tag = "1")]
@@ -67,7 +70,8 @@
 }
 
 /// One frame on a link.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Frame {
     /// What it carries; absent for a kind that this version does not know.
     #[prost(
@@ -78,7 +82,8 @@
 }
 
 /// What a frame carries.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum FrameKind {
     /// Handshake, first step.
     #[prost(message, tag = "1")]
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 
 /// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(prost::Enumeration)]
 #[repr(i32)]
 pub enum FinishCode {
     /// Never sent; the zero value of the encoding.
@@ -21,7 +22,8 @@
 }
 
 /// What became of a call or an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(prost::Enumeration)]
 #[repr(i32)]
 pub enum VerdictCode {
     /// Never sent; the zero value of the encoding.
@@ -37,7 +39,8 @@
 }
 
 /// Load of a backend server.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct LoadStatus {
     /// Role of the engine.
     #[prost(string, tag = "1")]
@@ -93,7 +96,8 @@
 }
 
 /// Sign of life, in both directions.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Heartbeat {
     /// Highest configuration version seen.
     #[prost(uint64, tag = "1")]
@@ -104,7 +108,8 @@
 }
 
 /// Work for a model engine.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct RunRequest {
     /// Attempt, unique on this entry.
     #[prost(uint64, tag = "1")]
@@ -154,7 +159,8 @@
 }
 
 /// Tokens of an answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct AnswerChunk {
     /// Attempt.
     #[prost(uint64, tag = "1")]
@@ -171,7 +177,8 @@
 }
 
 /// End of an attempt.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct AnswerEnd {
     /// Attempt.
     #[prost(uint64, tag = "1")]
@@ -188,7 +195,8 @@
 }
 
 /// An attempt that was not run.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct RunRefusal {
     /// Attempt.
     #[prost(uint64, tag = "1")]
@@ -202,7 +210,8 @@
 }
 
 /// Ends an attempt whose answer nobody waits for.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct RunCancel {
     /// Attempt.
     #[prost(uint64, tag = "1")]
@@ -210,7 +219,8 @@
 }
 
 /// Asks for tickets.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct TicketAsk {
     /// Attempt that the answer names.
     #[prost(uint64, tag = "1")]
@@ -227,7 +237,8 @@
 }
 
 /// Tickets, signed.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct TicketGrant {
     /// Attempt of the question.
     #[prost(uint64, tag = "1")]
@@ -238,7 +249,8 @@
 }
 
 /// A call of a plain service.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct CallRun {
     /// Attempt.
     #[prost(uint64, tag = "1")]
@@ -261,7 +273,8 @@
 }
 
 /// What became of a call.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct CallOutcome {
     /// Attempt.
     #[prost(uint64, tag = "1")]
@@ -281,7 +294,8 @@
 }
 
 /// Order to change an engine's role.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct RoleOrder {
     /// Number of the order on its planner.
     #[prost(uint64, tag = "1")]
@@ -301,7 +315,8 @@
 }
 
 /// What became of an order.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct OrderVerdict {
     /// Number of the order.
     #[prost(uint64, tag = "1")]
@@ -315,7 +330,8 @@
 }
 
 /// Says that the sender leaves and takes no new work.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct LeaveNotice {
     /// Whether it leaves; false calls the leave off.
     #[prost(bool, tag = "1")]
@@ -323,7 +339,8 @@
 }
 
 /// A configuration document.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ConfigDocument {
     /// Version.
     #[prost(uint64, tag = "1")]
@@ -334,7 +351,8 @@
 }
 
 /// Asks for a later configuration.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ConfigPull {
     /// Version that the sender has.
     #[prost(uint64, tag = "1")]
@@ -342,7 +360,8 @@
 }
 
 /// Tells of a crash and of the requests that ran there.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct SuspectNotice {
     /// Id of the crash, the same from whoever tells of it.
     #[prost(uint64, tag = "1")]
