--- /dev/null
+++ b/crates/demo/tests/drains.rs
@@ -0,0 +1,197 @@
+//! Planned stops cut no request, and what leaves gets no new work.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use conf::ConfigBook;
+use demo::{
+    DemoSite,
+    SiteOptions,
+    sample_book, //
+};
+use fakes::expected_answer;
+use store::InstanceState;
+use testutils::{
+    SiteCaller,
+    StreamedAnswer, //
+};
+use tokio::task::JoinHandle;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+use units::InstanceId;
+
+const TOKENS: u32 = 100;
+/// Time after which a leaving backend server may get no new work.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+async fn small_site(options: SiteOptions) -> DemoSite {
+    let options = SiteOptions {
+        centres: 1,
+        engines: 3,
+        services: 0,
+        ..options
+    };
+    let site = DemoSite::start(options).await.unwrap();
+    site.wait_ready().await;
+    site
+}
+
+fn prompt_of(number: usize) -> String {
+    format!("caller {number} plans the bake of day {number}")
+}
+
+/// Callers of one entry that arrive one after the other.
+fn start_callers(site: &DemoSite, entry: usize, count: usize) -> Vec<JoinHandle<StreamedAnswer>> {
+    let address = site.entry_address(entry).unwrap();
+    let one = |number: usize| {
+        let caller = SiteCaller::new(address);
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(25) * number as u32).await;
+            caller.stream("ordinary", &prompt_of(number), TOKENS).await
+        })
+    };
+    (0..count).map(one).collect()
+}
+
+async fn check_whole(callers: Vec<JoinHandle<StreamedAnswer>>) {
+    for (number, caller) in callers.into_iter().enumerate() {
+        let answer = caller.await.unwrap();
+        assert!(answer.is_whole(), "caller {number}: {answer:?}");
+        let expected = expected_answer(prompt_of(number).as_bytes(), TOKENS);
+        assert_eq!(answer.text, expected, "caller {number}");
+    }
+}
+
+fn starts_on(site: &DemoSite, name: &InstanceId) -> u32 {
+    site.engines[name].runs().values().sum()
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_side_under_load() {
+    let mut site = small_site(SiteOptions::default()).await;
+    let callers = start_callers(&site, 0, 60);
+    sleep(Duration::from_millis(400)).await;
+    let name = site.sides.keys().next().unwrap().clone();
+    let before = starts_on(&site, &name);
+    assert!(before > 0, "the side must have work to drain");
+    site.take_side(&name).unwrap().stop().await;
+    check_whole(callers).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_entry_under_load() {
+    let mut site = small_site(SiteOptions::default()).await;
+    let callers = start_callers(&site, 0, 20);
+    sleep(Duration::from_millis(600)).await;
+    site.entries[0].take().unwrap().stop().await;
+    check_whole(callers).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_instance_by_operator() {
+    let site = small_site(SiteOptions::default()).await;
+    let callers = start_callers(&site, 0, 200);
+    sleep(Duration::from_millis(400)).await;
+    let name = site.sides.keys().next().unwrap().clone();
+    let mut book = sample_book();
+    book.drains.insert(name.clone());
+    book.stamp("drain".into(), "drain".into());
+    site.store.seed("galenarail/config", book.to_json());
+    sleep(LEAVE_LIMIT).await;
+    let at_limit = starts_on(&site, &name);
+    check_whole(callers).await;
+    assert_eq!(
+        starts_on(&site, &name),
+        at_limit,
+        "new work on a drained instance"
+    );
+    assert!(
+        site.engines
+            .keys()
+            .any(|other| starts_on(&site, other) > at_limit)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn leave_list_lags() {
+    // The list shows the leaving instance ten seconds late; its side process says so at once.
+    let options = SiteOptions {
+        list_lag: Duration::from_secs(10),
+        ..SiteOptions::default()
+    };
+    let options = SiteOptions {
+        centres: 1,
+        engines: 3,
+        services: 0,
+        ..options
+    };
+    let site = DemoSite::start(options).await.unwrap();
+    sleep(Duration::from_secs(12)).await;
+    let mut site = site;
+    let callers = start_callers(&site, 0, 200);
+    sleep(Duration::from_millis(400)).await;
+    let name = site.sides.keys().next().unwrap().clone();
+    site.set_listed(&name, InstanceState::Leaving);
+    let daemon = site.take_side(&name).unwrap();
+    let stopping = tokio::spawn(daemon.stop());
+    sleep(LEAVE_LIMIT).await;
+    let at_limit = starts_on(&site, &name);
+    stopping.await.unwrap();
+    check_whole(callers).await;
+    assert_eq!(starts_on(&site, &name), at_limit);
+}
+
+#[tokio::test(start_paused = true)]
+async fn leave_list_alone() {
+    // The side process says nothing; the list is the only source.
+    let mut site = small_site(SiteOptions::default()).await;
+    let callers = start_callers(&site, 0, 200);
+    sleep(Duration::from_millis(400)).await;
+    let name = site.sides.keys().next().unwrap().clone();
+    site.set_listed(&name, InstanceState::Leaving);
+    sleep(LEAVE_LIMIT).await;
+    let at_limit = starts_on(&site, &name);
+    check_whole(callers).await;
+    assert_eq!(starts_on(&site, &name), at_limit);
+}
+
+#[tokio::test(start_paused = true)]
+async fn replace_all_sides_in_turn() {
+    let mut site = small_site(SiteOptions::default()).await;
+    let callers = start_callers(&site, 0, 300);
+    let names: Vec<InstanceId> = site.sides.keys().cloned().collect();
+    for name in &names {
+        site.take_side(name).unwrap().stop().await;
+        site.start_side(name).await.unwrap();
+        sleep(Duration::from_secs(2)).await;
+    }
+    check_whole(callers).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn undrain_takes_work_again() {
+    let site = small_site(SiteOptions::default()).await;
+    let names: Vec<InstanceId> = site.sides.keys().cloned().collect();
+    let mut book: ConfigBook = sample_book();
+    book.drains.extend(names.iter().cloned());
+    book.stamp("all".into(), "drain all".into());
+    site.store.seed("galenarail/config", book.to_json());
+    sleep(Duration::from_secs(2)).await;
+    let caller = SiteCaller::new(site.entry_address(0).unwrap());
+    let refused = caller.complete("kiosk", "anyone there", 5).await;
+    assert_eq!(refused.status, 503);
+    assert!(refused.says_not_run());
+    book.drains.clear();
+    book.stamp("none".into(), "drain none".into());
+    site.store.seed("galenarail/config", book.to_json());
+    sleep(Duration::from_secs(2)).await;
+    let started = Instant::now();
+    assert_eq!(
+        caller.complete("kiosk", "anyone there", 5).await.status,
+        200
+    );
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -11,7 +11,8 @@
 
 /// Entries of a data centre that watch the store; the others learn from side processes.
 const WATCHERS: usize = 2;
-const WATCH_TIME: Duration = Duration::from_secs(30);
+/// Wait of one watch; also the time after which a watch that hangs in an outage is given up.
+const WATCH_TIME: Duration = Duration::from_secs(5);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 const IDLE_PAUSE: Duration = Duration::from_secs(2);
 
