--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -51,6 +51,8 @@
 const TOTAL_ATTEMPTS: usize = 24;
 /// Pause before a resume when no backend server is available.
 const RESUME_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between looks at the trial of the same request.
+const TRIAL_PAUSE: Duration = Duration::from_millis(25);
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// What a driver hands out.
@@ -89,6 +91,7 @@
     tried: BTreeSet<InstanceId>,
     kv_handle: String,
     may_have_run: bool,
+    proven: bool,
     attempts: usize,
 }
 
@@ -106,6 +109,7 @@
             tried: BTreeSet::new(),
             kv_handle: String::new(),
             may_have_run: false,
+            proven: true,
             attempts: 0,
         }
     }
@@ -148,7 +152,11 @@
             if self.assembler.delivered() >= self.work.api.max_tokens {
                 return Ok(Some("length"));
             }
-            let choice = match self.route() {
+            if alone && self.is_on_trial() {
+                self.wait_for_trial().await?;
+                continue;
+            }
+            let choice = match self.route(alone) {
                 Ok(choice) => choice,
                 Err(refusal) => {
                     self.wait_for_room(refusal).await?;
@@ -200,6 +208,23 @@
         }
     }
 
+    /// Whether the same request runs through this entry and has shown no token.
+    fn is_on_trial(&self) -> bool {
+        let fingerprint = self.work.fingerprint();
+        self.shared.lock().unproven.place(fingerprint).is_some()
+    }
+
+    /// Waits a little for the trial of the same request, while there is time.
+    async fn wait_for_trial(&self) -> Result<(), CallerFailure> {
+        let over = self.work.start_budget(Instant::now()).is_zero();
+        if over && !self.may_have_run {
+            let message = "the same request is tried alone; send this one again later";
+            return Err(CallerFailure::not_run("on_trial", message, RETRY_AFTER));
+        }
+        sleep(TRIAL_PAUSE).await;
+        Ok(())
+    }
+
     fn clear_suspect(&self, alone: bool) {
         if alone {
             let fingerprint = self.work.fingerprint();
@@ -207,7 +232,7 @@
         }
     }
 
-    fn route(&mut self) -> Result<RouteChoice, RouteRefusal> {
+    fn route(&mut self, alone: bool) -> Result<RouteChoice, RouteRefusal> {
         let now = Instant::now();
         let delivered = self.assembler.delivered();
         let mut guard = self.shared.lock();
@@ -229,6 +254,8 @@
                 self.work.start_budget(now)
             },
             imports: !self.kv_handle.is_empty(),
+            pin: state.unproven.place(self.work.fingerprint()),
+            trial: alone.then_some(self.work.fingerprint()),
             avoid: self.tried.clone(),
         };
         let choice = state.router.route(now, &need, &mut state.rng);
@@ -310,23 +337,36 @@
     }
 
     async fn attempt(&mut self, choice: &RouteChoice, alone: bool) -> AttemptEnd {
-        let (id, mut events) = self.shared.lock().attempts.open(&choice.instance);
+        let fingerprint = self.work.fingerprint();
+        let (id, mut events) = {
+            let mut state = self.shared.lock();
+            state.unproven.begin(fingerprint, &choice.instance);
+            state.attempts.open(&choice.instance)
+        };
+        self.proven = false;
         let end = match self.send_run(id, choice, alone) {
             true => self.follow(id, &mut events).await,
             false => AttemptEnd::Refused("link_down".into(), RETRY_AFTER),
         };
+        self.prove();
         self.assembler.abandon();
         self.shared.lock().attempts.close(id);
         let left_running = matches!(end, AttemptEnd::Abandoned | AttemptEnd::TimeOver);
         if left_running || matches!(end, AttemptEnd::Interrupted) {
-            self.send(
-                &choice.instance,
-                FrameKind::Cancel(RunCancel { attempt: id.0 }),
-            );
+            let cancel = RunCancel { attempt: id.0 };
+            self.send(&choice.instance, FrameKind::Cancel(cancel));
         }
         end
     }
 
+    /// Notes once for each attempt that it has shown a token or ended.
+    fn prove(&mut self) {
+        if !std::mem::replace(&mut self.proven, true) {
+            let fingerprint = self.work.fingerprint();
+            self.shared.lock().unproven.end(fingerprint);
+        }
+    }
+
     fn send(&self, instance: &InstanceId, kind: FrameKind) -> bool {
         let state = self.shared.lock();
         state
@@ -385,7 +425,10 @@
                     tokens,
                     data,
                 } => {
-                    self.may_have_run |= tokens.0 > 0;
+                    if tokens.0 > 0 {
+                        self.may_have_run = true;
+                        self.prove();
+                    }
                     let verdict = self.assembler.chunk(id, offset, tokens, data);
                     if let Some(end) = self.take_verdict(verdict).await {
                         return end;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod state;
 mod stream;
 mod tickets;
+mod unproven;
 mod work;
 
 pub use daemon::EntryDaemon;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -59,6 +59,7 @@
 use crate::attempt::AttemptTable;
 use crate::claims::ClaimSender;
 use crate::metrics::EntryMetrics;
+use crate::unproven::UnprovenTable;
 
 /// Lease of a planner; sides refuse orders whose stamps are older.
 pub(crate) const PLANNER_LEASE: Duration = Duration::from_secs(6);
@@ -95,6 +96,7 @@
     pub(crate) keeper: ConfigKeeper,
     pub(crate) book: Arc<ConfigBook>,
     pub(crate) suspects: SuspectRegister,
+    pub(crate) unproven: UnprovenTable,
     pub(crate) retries: RetryBudget,
     pub(crate) limiter: AccountLimiter,
     pub(crate) lease: LeaseKeeper,
@@ -121,6 +123,7 @@
             keeper: ConfigKeeper::default(),
             book: Arc::default(),
             suspects: SuspectRegister::default(),
+            unproven: UnprovenTable::default(),
             retries: RetryBudget::new(),
             limiter: AccountLimiter::default(),
             lease: LeaseKeeper::new(PLANNER_LEASE),
--- a/crates/measure/src/sim.rs
+++ b/crates/measure/src/sim.rs
@@ -343,6 +343,8 @@
                 due.saturating_duration_since(self.now)
             },
             imports: sim_job.imported,
+            pin: None,
+            trial: sim_job.alone.then_some(self.fingerprint(job)),
             avoid: sim_job.tried.clone(),
         };
         let router = &mut self.routers[arrival.entry];
--- a/crates/policy/src/refusal.rs
+++ b/crates/policy/src/refusal.rs
@@ -13,6 +13,8 @@
     Leaving,
     /// The prompt and its output exceed the engine's memory.
     TooLarge,
+    /// It crashed backend servers and is kept out.
+    Quarantined,
     /// The engine does not answer.
     EngineDown,
 }
@@ -25,6 +27,7 @@
             Self::QueueFull => "queue_full",
             Self::Leaving => "leaving",
             Self::TooLarge => "too_large",
+            Self::Quarantined => "quarantined",
             Self::EngineDown => "engine_down",
         }
     }
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -12,8 +12,10 @@
     RngExt, //
 };
 use tokio::time::Instant;
+use twox_hash::XxHash3_64;
 use units::{
     DataCentre,
+    FingerprintId,
     InstanceId,
     ModelName,
     PieceCount,
@@ -68,6 +70,11 @@
     pub budget: Duration,
     /// Whether it resumes a stream with its KV cache moved.
     pub imports: bool,
+    /// Backend server where the same request runs and has shown no token yet; one crash there is
+    /// better than one in each of two places.
+    pub pin: Option<InstanceId>,
+    /// Fingerprint of a suspect; every entry tries it on the same backend server.
+    pub trial: Option<FingerprintId>,
     /// Backend servers that were tried already.
     pub avoid: BTreeSet<InstanceId>,
 }
@@ -269,7 +276,18 @@
     }
 
     fn candidates(&self, now: Instant, need: &RouteNeed, rng: &mut impl Rng) -> Vec<InstanceId> {
+        if let Some(fingerprint) = need.trial {
+            return self
+                .trial_place(now, need, fingerprint)
+                .into_iter()
+                .collect();
+        }
         let mut found = Vec::with_capacity(SAMPLE_SIZE + 1);
+        if let Some(pinned) = &need.pin
+            && self.is_usable(now, pinned, need)
+        {
+            return vec![pinned.clone()];
+        }
         if let Some(instance) = self.prefixes.get(&need.prefix)
             && self.is_usable(now, instance, need)
         {
@@ -297,6 +315,20 @@
         found
     }
 
+    /// The usable backend server of highest weight for a suspect, by rendezvous hashing.
+    fn trial_place(
+        &self,
+        now: Instant,
+        need: &RouteNeed,
+        fingerprint: FingerprintId,
+    ) -> Option<InstanceId> {
+        let weight = |instance: &&InstanceId| {
+            XxHash3_64::oneshot_with_seed(fingerprint.0, instance.as_str().as_bytes())
+        };
+        let usable = self.views.keys().filter(|i| self.is_usable(now, i, need));
+        usable.max_by_key(weight).cloned()
+    }
+
     fn is_usable(&self, now: Instant, instance: &InstanceId, need: &RouteNeed) -> bool {
         let Some(view) = self.views.get(instance) else {
             return false;
--- a/crates/side/src/crash.rs
+++ b/crates/side/src/crash.rs
@@ -6,7 +6,12 @@
     DecisionKind,
     DecisionRecord, //
 };
-use policy::CrashId;
+use policy::{
+    CrashId,
+    JobKey,
+    RefusalReason,
+    SuspectVerdict, //
+};
 use tokio::time::Instant;
 use units::FingerprintId;
 use wire::{
@@ -14,6 +19,7 @@
     SuspectNotice, //
 };
 
+use crate::dispatch::remove_job;
 use crate::job::SideJob;
 use crate::state::{
     SideShared,
@@ -54,6 +60,22 @@
         self.log.decide(record);
     }
 
+    /// Refuses what waits and is kept out by now.
+    pub(crate) fn refuse_quarantined(&self, state: &mut SideState) {
+        let now = Instant::now();
+        let kept_out = |job: &SideJob| {
+            let verdict = state.suspects.verdict(now, job.fingerprint());
+            job.task.is_none() && matches!(verdict, SuspectVerdict::Quarantined(_))
+        };
+        let jobs = state.jobs.iter().filter(|(_, job)| kept_out(job));
+        let keys: Vec<JobKey> = jobs.map(|(key, _)| *key).collect();
+        for key in keys {
+            if let Some(job) = remove_job(state, key) {
+                self.tell_refused(&job, RefusalReason::Quarantined);
+            }
+        }
+    }
+
     /// Passes on what another process tells of a crash, once.
     pub(crate) fn relay_suspect(&self, from: u64, notice: SuspectNotice) {
         let mut state = self.lock();
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -74,6 +74,7 @@
 
     /// Starts, pauses and refuses as the scheduler says.
     pub(crate) fn pump(self: &Arc<Self>, state: &mut SideState) {
+        self.refuse_quarantined(state);
         for action in state.scheduler.poll(Instant::now()) {
             match action {
                 SideAction::Start(key) => self.start_job(state, key),
@@ -131,7 +132,7 @@
         self.log.decide(record);
     }
 
-    fn tell_refused(&self, job: &SideJob, reason: RefusalReason) {
+    pub(crate) fn tell_refused(&self, job: &SideJob, reason: RefusalReason) {
         job.refuse(reason, RETRY_AFTER_MS);
         self.metrics.refused.inc();
         let record = DecisionRecord::new(DecisionKind::Refuse, reason.as_str())
