--- /dev/null
+++ b/crates/demo/tests/hostile.rs
@@ -0,0 +1,244 @@
+//! Intruders get nothing done, and hostile input neither stops nor fills a process.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
+use std::time::Duration;
+
+use conf::{
+    AccountRule,
+    KeyDigest, //
+};
+use demo::{
+    DemoSite,
+    SiteOptions,
+    sample_book, //
+};
+use policy::SharedSecret;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+use testutils::SiteCaller;
+use tokio::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
+use tokio::net::TcpStream;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+use units::IncarnationId;
+use wire::{
+    LinkTimes,
+    PeerIdentity,
+    WireError,
+    connect_link, //
+};
+
+const SEED: u64 = 20_261_204;
+const ROUNDS: usize = 200;
+
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+
+fn count_panics() {
+    std::panic::set_hook(Box::new(|info| {
+        eprintln!("{info}");
+        PANICS.fetch_add(1, Ordering::Relaxed);
+    }));
+}
+
+async fn small_site() -> DemoSite {
+    let options = SiteOptions {
+        centres: 1,
+        engines: 2,
+        services: 1,
+        entries: 1,
+        keep_logs: true,
+        ..SiteOptions::default()
+    };
+    let site = DemoSite::start(options).await.unwrap();
+    site.wait_ready().await;
+    site
+}
+
+async fn check_alive(site: &DemoSite) {
+    let caller = SiteCaller::new(site.entry_address(0).unwrap());
+    assert_eq!(caller.complete("kiosk", "still there", 5).await.status, 200);
+    assert_eq!(caller.order("menu", None, "list").await.status, 200);
+}
+
+/// Sends bytes and reads until the peer closes or a time is over.
+async fn throw(address: SocketAddr, data: &[u8]) {
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return;
+    };
+    // The peer may close at any moment.
+    let _ = stream.write_all(data).await;
+    let mut sink = vec![0; 4_096];
+    let reading = async { while matches!(stream.read(&mut sink).await, Ok(count) if count > 0) {} };
+    let _ = timeout(Duration::from_millis(50), reading).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn ports_random_bytes() {
+    count_panics();
+    let site = small_site().await;
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let side = site.sides.values().next().unwrap().settings.listen;
+    let entry = site.entry_address(0).unwrap();
+    for round in 0..ROUNDS {
+        let length = rng.random_range(1..2_000);
+        let mut data: Vec<u8> = (0..length).map(|_| rng.random()).collect();
+        match round % 4 {
+            // A frame whose length is beyond the limit, and one that is cut off.
+            1 => data[..1].fill(0xff),
+            2 => data
+                .splice(..0, (length as u32 + 100).to_be_bytes())
+                .for_each(drop),
+            3 => data
+                .splice(..0, *b"POST /v1/completions HTTP/1.1\r\n")
+                .for_each(drop),
+            _ => {}
+        }
+        throw(if round % 2 == 0 { side } else { entry }, &data).await;
+    }
+    check_alive(&site).await;
+    assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn entry_slow_senders() {
+    let site = small_site().await;
+    let address = site.entry_address(0).unwrap();
+    let mut held = Vec::new();
+    for _ in 0..50 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream
+            .write_all(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
+            .await
+            .unwrap();
+        held.push(stream);
+    }
+    check_alive(&site).await;
+    sleep(Duration::from_secs(6)).await;
+    for mut stream in held {
+        let mut answer = Vec::new();
+        // The entry has closed it: reading comes to an end.
+        let read = timeout(Duration::from_secs(1), stream.read_to_end(&mut answer)).await;
+        assert!(read.is_ok(), "a slow sender must not hold its connection");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn entry_bad_input() {
+    let site = small_site().await;
+    let caller = SiteCaller::new(site.entry_address(0).unwrap());
+    let big = "x".repeat(1_100_000);
+    let cases = [
+        ("/v1/completions", "{", 400, "malformed_json"),
+        (
+            "/v1/completions",
+            r#"{"model":"none","prompt":"a"}"#,
+            404,
+            "unknown_model",
+        ),
+        (
+            "/v1/completions",
+            r#"{"model":"assistant","prompt":""}"#,
+            400,
+            "empty_prompt",
+        ),
+        (
+            "/v1/completions",
+            r#"{"model":"assistant","prompt":"a","max_tokens":0}"#,
+            400,
+            "bad_max_tokens",
+        ),
+        ("/v1/completions", big.as_str(), 413, "bad_body"),
+        ("/v1/services/orders/none", "{}", 404, "unknown_call"),
+        ("/v1/services/orders/place", "{}", 400, "missing_key"),
+        ("/v1/nothing", "{}", 404, "not_found"),
+    ];
+    for (path, body, status, code) in cases {
+        let reply = caller.send(path, body.to_owned()).await;
+        assert_eq!(reply.status, status, "{path} {code}: {reply:?}");
+        assert_eq!(reply.code(), code);
+        assert!(reply.says_not_run());
+    }
+    let unknown = caller.complete("no-such-class", "a", 5).await;
+    assert_eq!((unknown.status, unknown.code()), (400, "unknown_class"));
+    let prompt = "long ".repeat(60_000);
+    let long = caller.complete("kiosk", &prompt, 5).await;
+    assert_eq!((long.status, long.code()), (400, "prompt_too_long"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn link_wrong_secret() {
+    let site = small_site().await;
+    let node = site.sides.values().next().unwrap();
+    let own = PeerIdentity {
+        instance: "entry-1".parse().unwrap(),
+        incarnation: IncarnationId(1),
+    };
+    let wrong = SharedSecret::new(*b"another secret entirely");
+    let times = LinkTimes::default();
+    let refused = connect_link(node.settings.listen, &wrong, &own, times).await;
+    assert!(matches!(
+        refused,
+        Err(WireError::Closed | WireError::Broken { .. })
+    ));
+    let lines = node.log.take_lines();
+    assert!(
+        lines
+            .iter()
+            .any(|line| line.contains("\"kind\":\"intruder\"")),
+        "{lines:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn accounts_kept_apart() {
+    let mut book = sample_book();
+    for (name, key) in [("till-1", "secret-1"), ("till-2", "secret-2")] {
+        let rule = AccountRule {
+            key_sha256: KeyDigest::of_key(key.as_bytes()),
+            requests_per_second: 1.0,
+            burst: 5,
+        };
+        book.accounts.insert(name.parse().unwrap(), rule);
+    }
+    let options = SiteOptions {
+        centres: 1,
+        engines: 1,
+        entries: 1,
+        ..SiteOptions::default()
+    };
+    let site = DemoSite::start_with(options, book).await.unwrap();
+    site.wait_ready().await;
+    let address = site.entry_address(0).unwrap();
+    let nobody = SiteCaller::new(address).complete("kiosk", "hello", 3).await;
+    assert_eq!((nobody.status, nobody.code()), (401, "unknown_account"));
+    let first = SiteCaller::new(address).bearer("secret-1");
+    let second = SiteCaller::new(address).bearer("secret-2");
+    // A ticket is bound to its account, and the same key of another account is another key.
+    let ticket = first.ticket("charge").await.unwrap();
+    let stolen = second.order("charge", Some(&ticket), "sum").await;
+    assert_eq!((stolen.status, stolen.code()), (403, "forged_ticket"));
+    assert_eq!(first.order("place", Some("same"), "pie").await.status, 200);
+    assert_eq!(second.order("place", Some("same"), "pie").await.status, 200);
+    // One account's flood leaves the other its rate.
+    let mut limited = 0;
+    for _ in 0..10 {
+        let reply = first.complete("kiosk", "again", 2).await;
+        limited += u32::from(reply.status == 429 && reply.says_not_run());
+    }
+    assert!(limited > 0);
+    assert_eq!(second.complete("kiosk", "hello", 2).await.status, 200);
+}
