--- a/crates/demo/tests/config.rs
+++ b/crates/demo/tests/config.rs
@@ -80,8 +80,10 @@
     sleep(FORCE_LIMIT).await;
     // A stale replica of the store shows the old document again.
     site.store.seed(KEY, sample_book().to_json());
-    sleep(FORCE_LIMIT).await;
-    assert_eq!(versions(&site), vec![newer.version; 2]);
+    for _ in 0..1_200 {
+        sleep(Duration::from_millis(10)).await;
+        assert_eq!(versions(&site), vec![newer.version; 2]);
+    }
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/demo/tests/drains.rs
+++ b/crates/demo/tests/drains.rs
@@ -11,6 +11,7 @@
     sample_book, //
 };
 use fakes::expected_answer;
+use policy::SharedSecret;
 use store::InstanceState;
 use testutils::{
     SiteCaller,
@@ -21,7 +22,17 @@
     Instant,
     sleep, //
 };
-use units::InstanceId;
+use units::{
+    IncarnationId,
+    InstanceId, //
+};
+use wire::{
+    FrameKind,
+    LinkTimes,
+    PeerIdentity,
+    RunRequest,
+    connect_link, //
+};
 
 const TOKENS: u32 = 100;
 /// Time after which a leaving backend server may get no new work.
@@ -195,3 +206,45 @@
     );
     assert!(started.elapsed() < Duration::from_secs(1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn drained_side_refuses_by_itself() {
+    // An entry that has not heard of the drain sends work all the same.
+    let site = small_site(SiteOptions::default()).await;
+    let (name, node) = site.sides.iter().next().unwrap();
+    let secret = SharedSecret::new(node.settings.secret.as_bytes());
+    let own = PeerIdentity {
+        instance: "entry-test".parse().unwrap(),
+        incarnation: IncarnationId(7),
+    };
+    let mut book = sample_book();
+    book.drains.insert(name.clone());
+    book.stamp("drain".into(), "drain".into());
+    site.store.seed("galenarail/config", book.to_json());
+    sleep(LEAVE_LIMIT).await;
+    let times = LinkTimes {
+        silence: Duration::from_secs(60),
+        ..LinkTimes::default()
+    };
+    let mut link = connect_link(node.settings.listen, &secret, &own, times)
+        .await
+        .unwrap();
+    let run = RunRequest {
+        attempt: 1,
+        model: "assistant".into(),
+        prompt: "late".into(),
+        prompt_tokens: 1,
+        max_tokens: 2,
+        start_ms: 5_000,
+        gap_ms: 100,
+        ..RunRequest::default()
+    };
+    assert!(link.sender.send(FrameKind::Run(run)));
+    let refusal = loop {
+        if let FrameKind::Refusal(refusal) = link.receiver.recv().await.unwrap().unwrap() {
+            break refusal;
+        }
+    };
+    assert_eq!(refusal.reason, "leaving");
+    assert_eq!(starts_on(&site, name), 0);
+}
--- a/crates/demo/tests/once.rs
+++ b/crates/demo/tests/once.rs
@@ -317,7 +317,7 @@
 #[tokio::test(start_paused = true)]
 async fn order_many_keys_few_writes() {
     let site = service_site().await;
-    let before = site.store.calls("PUT galenarail/claims");
+    let before = site.store.calls("PUT txn");
     let tasks: Vec<_> = (0..400)
         .map(|number| {
             let caller = caller(&site, number % 2);
@@ -329,7 +329,7 @@
         let reply = task.await.unwrap();
         assert_eq!(reply.status, 200, "{reply:?}");
     }
-    let writes = site.store.calls("PUT galenarail/claims") - before;
-    println!("store writes for 400 calls at once: {writes}");
-    assert!(writes < 200, "claims must be committed together: {writes}");
+    let writes = site.store.calls("PUT txn") - before;
+    println!("store calls for the claims of 400 calls at once: {writes}");
+    assert!(writes < 100, "claims must be committed together: {writes}");
 }
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -247,7 +247,7 @@
     for _ in 0..REBIND_LIMIT {
         let fresh = new_ticket(shared, call).await?;
         let record = ClaimRecord {
-            ticket: fresh.to_string(),
+            ticket: fresh.to_unsigned(),
             body: body_digest(&call.body),
             at_ms: now_ms(),
         };
@@ -260,6 +260,7 @@
         let Ok(ticket) = bound.ticket.parse::<CallTicket>() else {
             return Err(outcome_unknown());
         };
+        let ticket = ticket.signed(&shared.secret, &call.account, &call.call);
         let own = ticket == fresh;
         let reason = if own {
             "key claimed for this side"
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -1,6 +1,6 @@
 //! Binds callers' keys to tickets in the store, many in one write.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -15,7 +15,9 @@
 };
 use store::{
     StoreError,
-    StoreKey, //
+    StoreKey,
+    StoredValue,
+    SwapRequest, //
 };
 use tokio::sync::{
     mpsc,
@@ -31,11 +33,13 @@
 
 /// Time for which wishes are collected into one write.
 const COLLECT_TIME: Duration = Duration::from_millis(4);
-const BATCH_LIMIT: usize = 256;
+/// Wishes in one commit; their shards fit into one transaction.
+const BATCH_LIMIT: usize = 64;
 const QUEUE_DEPTH: usize = 1_024;
 /// Time after which a claim without an answer is given up.
 const CLAIM_TIME: Duration = Duration::from_secs(4);
 const CONFLICT_PAUSE: Duration = Duration::from_millis(2);
+const LOST_PAUSE: Duration = Duration::from_millis(50);
 
 /// What is known of a claim.
 #[derive(Debug, Clone)]
@@ -73,27 +77,8 @@
     }
 }
 
-/// Collects wishes by shard and writes each shard's together, until aborted.
+/// Collects wishes and commits those of one moment together, until aborted.
 pub(crate) async fn write_claims(shared: Arc<EntryShared>, mut queue: mpsc::Receiver<ClaimOrder>) {
-    let mut writers: BTreeMap<u32, mpsc::Sender<ClaimOrder>> = BTreeMap::new();
-    while let Some(order) = queue.recv().await {
-        let shard = order.wish.key.shard();
-        let writer = writers.entry(shard).or_insert_with(|| {
-            let (sender, receiver) = mpsc::channel(QUEUE_DEPTH);
-            tokio::spawn(write_shard(shared.clone(), shard, receiver));
-            sender
-        });
-        // A full queue drops the order, whose claim then counts as unknown.
-        let _ = writer.try_send(order);
-    }
-}
-
-async fn write_shard(shared: Arc<EntryShared>, shard: u32, mut queue: mpsc::Receiver<ClaimOrder>) {
-    let mut writer = ShardWriter {
-        shared,
-        key: StoreKey::claims(shard),
-        known: None,
-    };
     while let Some(first) = queue.recv().await {
         let mut batch = vec![first];
         let until = Instant::now() + COLLECT_TIME;
@@ -103,104 +88,96 @@
                 _ => break,
             }
         }
-        writer.commit(batch).await;
-    }
-}
-
-struct ShardWriter {
-    shared: Arc<EntryShared>,
-    key: StoreKey,
-    /// The shard as it was last read or written, with its index.
-    known: Option<(u64, ClaimShard)>,
-}
-
-impl ShardWriter {
-    async fn commit(&mut self, batch: Vec<ClaimOrder>) {
         let wishes: Vec<ClaimWish> = batch.iter().map(|order| order.wish.clone()).collect();
-        let results = self.decide(&wishes).await;
+        let results = decide(&shared, &wishes).await;
         for (order, result) in batch.into_iter().zip(results) {
             // The caller may be gone.
             let _ = order.reply.send(result);
         }
     }
+}
 
-    async fn decide(&mut self, wishes: &[ClaimWish]) -> Vec<ClaimResult> {
-        let until = Instant::now() + CLAIM_TIME;
-        let mut wrote = false;
-        loop {
-            match self.try_commit(wishes, &mut wrote).await {
-                Ok(Some(verdicts)) => {
-                    return verdicts.into_iter().map(ClaimResult::Decided).collect();
+/// Commits a batch; tries again while conflicts and lost answers leave it open.
+async fn decide(shared: &EntryShared, wishes: &[ClaimWish]) -> Vec<ClaimResult> {
+    let until = Instant::now() + CLAIM_TIME;
+    let mut wrote = false;
+    if shared.is_store_down() {
+        return vec![ClaimResult::NoEffect; wishes.len()];
+    }
+    loop {
+        match try_commit(shared, wishes, &mut wrote).await {
+            Ok(Some(verdicts)) => {
+                shared.note_store(true);
+                return verdicts.into_iter().map(ClaimResult::Decided).collect();
+            }
+            Ok(None) => sleep(CONFLICT_PAUSE).await,
+            Err(_) => {
+                shared.note_store(false);
+                if !wrote {
+                    return vec![ClaimResult::NoEffect; wishes.len()];
                 }
-                Ok(None) => sleep(CONFLICT_PAUSE).await,
-                Err(error) => {
-                    self.known = None;
-                    self.shared.metrics.store_errors.inc();
-                    wrote |= !error.had_no_effect();
-                    if Instant::now() >= until || !wrote {
-                        let result = if wrote {
-                            ClaimResult::Unknown
-                        } else {
-                            ClaimResult::NoEffect
-                        };
-                        return vec![result; wishes.len()];
-                    }
-                    sleep(CONFLICT_PAUSE * 25).await;
+                if Instant::now() >= until {
+                    return vec![ClaimResult::Unknown; wishes.len()];
                 }
+                sleep(LOST_PAUSE).await;
             }
         }
     }
+}
 
-    /// One read where needed and one write; nothing when another writer was first.
-    async fn try_commit(
-        &mut self,
-        wishes: &[ClaimWish],
-        wrote: &mut bool,
-    ) -> Result<Option<Vec<ClaimVerdict>>, StoreError> {
-        let (index, mut claims) = match self.known.take() {
-            Some(known) => known,
-            None => self.read(*wrote).await?,
-        };
-        let settled = claims.is_settled(wishes);
-        let verdicts = claims.apply(now_ms(), wishes);
-        if settled {
-            self.known = Some((index, claims));
-            return Ok(Some(verdicts));
+/// Reads the shards of a batch in one call and writes those that change in another; nothing when
+/// another writer was first. `wrote` turns true once a write may have taken effect.
+async fn try_commit(
+    shared: &EntryShared,
+    wishes: &[ClaimWish],
+    wrote: &mut bool,
+) -> Result<Option<Vec<ClaimVerdict>>, StoreError> {
+    let shards: BTreeSet<u32> = wishes.iter().map(|wish| wish.key.shard()).collect();
+    let shards: Vec<u32> = shards.into_iter().collect();
+    let keys: Vec<StoreKey> = shards.iter().copied().map(StoreKey::claims).collect();
+    let values = shared.store.get_many(&keys).await?;
+    let mut verdicts: Vec<Option<ClaimVerdict>> = vec![None; wishes.len()];
+    let mut swaps = Vec::new();
+    for ((shard, key), value) in shards.iter().zip(keys).zip(values) {
+        let mut claims = read_shard(&value)?;
+        let numbers: Vec<usize> = (0..wishes.len())
+            .filter(|number| wishes[*number].key.shard() == *shard)
+            .collect();
+        let own: Vec<ClaimWish> = numbers
+            .iter()
+            .map(|number| wishes[*number].clone())
+            .collect();
+        let settled = claims.is_settled(&own);
+        for (number, verdict) in numbers.into_iter().zip(claims.apply(now_ms(), &own)) {
+            verdicts[number] = Some(verdict);
         }
-        let data = serde_json::to_vec(&claims).unwrap_or_default();
-        let store = &self.shared.store;
+        if !settled {
+            let data = serde_json::to_vec(&claims).unwrap_or_default().into();
+            let expected = value.index;
+            swaps.push(SwapRequest {
+                key,
+                expected,
+                data,
+            });
+        }
+    }
+    if !swaps.is_empty() {
         *wrote = true;
-        if !store
-            .compare_and_swap(&self.key, index, data.into())
-            .await?
-        {
+        if !shared.store.swap_many(&swaps).await? {
             return Ok(None);
         }
-        // The index after the write is not told; the next commit reads it.
-        Ok(Some(verdicts))
     }
+    Ok(verdicts.into_iter().collect())
+}
 
-    async fn read(&self, wrote: bool) -> Result<(u64, ClaimShard), StoreError> {
-        let read = self.shared.store.get(&self.key).await;
-        let value = match read {
-            Ok(value) => value,
-            // A read has no effect; only an earlier write leaves the outcome open.
-            Err(error) if wrote => return Err(error),
-            Err(error) => {
-                return Err(StoreError::Unsent {
-                    reason: error.to_string(),
-                });
-            }
-        };
-        let Some(value) = value else {
-            return Ok((0, ClaimShard::default()));
-        };
-        let claims = serde_json::from_slice(&value.data);
-        let claims = claims.map_err(|e| StoreError::Shape {
-            reason: e.to_string(),
-        })?;
-        Ok((value.index, claims))
+fn read_shard(value: &StoredValue) -> Result<ClaimShard, StoreError> {
+    if value.index == 0 {
+        return Ok(ClaimShard::default());
     }
+    let claims = serde_json::from_slice(&value.data);
+    claims.map_err(|error| StoreError::Shape {
+        reason: error.to_string(),
+    })
 }
 
 pub(crate) fn now_ms() -> u64 {
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -28,6 +28,7 @@
         }
         match shared.store.watch(&key, index, WATCH_TIME).await {
             Ok(Some(value)) => {
+                shared.note_store(true);
                 index = value.index;
                 let book = conf::ConfigBook::from_json(&value.data);
                 let version = book.map_or(ConfigVersion(0), |book| book.version);
@@ -35,7 +36,7 @@
             }
             Ok(None) => sleep(RETRY_PAUSE).await,
             Err(_) => {
-                shared.metrics.store_errors.inc();
+                shared.note_store(false);
                 sleep(RETRY_PAUSE).await;
             }
         }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -18,9 +18,8 @@
 };
 use tokio::time::{
     Instant,
-    MissedTickBehavior,
-    interval,
-    sleep, //
+    sleep,
+    sleep_until, //
 };
 use units::{
     AttemptId,
@@ -33,6 +32,7 @@
     WorkAmount, //
 };
 use wire::{
+    BackendStatus,
     ConfigDocument,
     ConfigPull,
     FinishCode,
@@ -50,7 +50,12 @@
     SideLink, //
 };
 
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+/// Period of heartbeats while few side processes are connected.
+const LEAST_PERIOD: Duration = Duration::from_millis(500);
+/// Longest period, within which side processes must not think that the entry is silent.
+const GREATEST_PERIOD: Duration = Duration::from_millis(900);
+/// Part of the period for each side process.
+const PERIOD_PER_SIDE: Duration = Duration::from_millis(15);
 const RECONNECT_LEAST: Duration = Duration::from_millis(100);
 const RECONNECT_MOST: Duration = Duration::from_secs(5);
 
@@ -102,6 +107,7 @@
         incarnation: peer.incarnation,
         service: None,
         load: LoadStatus::default(),
+        backend: BackendStatus::default(),
         leaving: false,
     };
     {
@@ -110,12 +116,12 @@
         shared.metrics.links.set(state.links.len() as i64);
     }
     shared.log_link(DecisionKind::Link, &target.instance, "connected");
-    let mut ticks = interval(HEARTBEAT_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut next_beat = Instant::now();
     loop {
         tokio::select! {
-            _ = ticks.tick() => {
+            _ = sleep_until(next_beat) => {
                 let _ = sender.send(shared.heartbeat());
+                next_beat = Instant::now() + shared.heartbeat_period();
             }
             next = receiver.recv() => match next {
                 Some(Ok(kind)) => shared.take_frame(target, kind),
@@ -127,6 +133,12 @@
 }
 
 impl EntryShared {
+    /// Time until the next heartbeat on a link.
+    fn heartbeat_period(&self) -> Duration {
+        let sides = self.lock().links.len() as u32;
+        (PERIOD_PER_SIDE * sides).clamp(LEAST_PERIOD, GREATEST_PERIOD)
+    }
+
     pub(crate) fn log_link(&self, kind: DecisionKind, instance: &InstanceId, reason: &str) {
         self.log
             .decide(DecisionRecord::new(kind, reason).chosen(instance));
@@ -148,9 +160,7 @@
         let instance = &from.instance;
         match kind {
             FrameKind::Heartbeat(beat) => {
-                if let Some(load) = beat.load {
-                    self.take_load(from, load);
-                }
+                self.take_load(from, beat.load, beat.backend);
                 self.pull_config(instance, ConfigVersion(beat.config_version));
             }
             FrameKind::Chunk(chunk) => {
@@ -204,26 +214,38 @@
             .deliver(from, AttemptId(attempt), event);
     }
 
-    fn take_load(&self, from: &SideAddress, load: LoadStatus) {
+    fn take_load(
+        &self,
+        from: &SideAddress,
+        load: Option<LoadStatus>,
+        backend: Option<BackendStatus>,
+    ) {
         let now = Instant::now();
         let mut state = self.lock();
         let Some(link) = state.links.get_mut(&from.instance) else {
             return;
         };
+        if let Some(backend) = backend {
+            link.service = backend.service.parse().ok();
+            link.backend = backend;
+        }
+        let Some(load) = load else {
+            return;
+        };
+        link.load = load;
+        let stamp = SideStamp(Duration::from_millis(link.load.stamp_ms));
         let incarnation = link.incarnation;
         let leaving = link.leaving;
-        link.service = load.service.parse().ok();
-        link.load = load.clone();
-        let stamp = SideStamp(Duration::from_millis(load.stamp_ms));
+        let report = read_report(&link.backend, &link.load);
+        let backend = &link.backend;
+        let cost = CostModel::new(backend.prefill_seconds, backend.decode_seconds);
+        let piece_tokens = backend.piece_tokens.max(1);
         state.lease.stamp(&from.instance, incarnation, stamp);
-        if !load.service.is_empty() {
-            return;
-        }
-        state.cost = CostModel::new(load.prefill_seconds, load.decode_seconds);
-        state.piece_tokens = load.piece_tokens.max(1);
-        let Some(report) = read_report(&load) else {
+        let Some(report) = report else {
             return;
         };
+        state.cost = cost;
+        state.piece_tokens = piece_tokens;
         state
             .router
             .report(now, &from.instance, &from.centre, report);
@@ -303,9 +325,13 @@
     }
 }
 
-fn read_report(load: &LoadStatus) -> Option<LoadReport> {
-    let role = load.role.parse::<EngineRole>().ok()?;
-    let models = load
+/// The report of a model engine; none for a plain service.
+fn read_report(backend: &BackendStatus, load: &LoadStatus) -> Option<LoadReport> {
+    if !backend.service.is_empty() {
+        return None;
+    }
+    let role = backend.role.parse::<EngineRole>().ok()?;
+    let models = backend
         .models
         .iter()
         .filter_map(|name| name.parse().ok())
@@ -314,13 +340,13 @@
     Some(LoadReport {
         role,
         models,
-        wait: RankMap::from_fn(|rank| WorkAmount(wait(rank))),
-        running: WorkAmount(load.running),
+        wait: RankMap::from_fn(|rank| WorkAmount(f64::from(wait(rank)))),
+        running: WorkAmount(f64::from(load.running)),
         prefill_total: WorkAmount(load.prefill_total),
         decode_total: WorkAmount(load.decode_total),
         streams: load.streams,
         used: PieceCount(load.used),
-        pieces: PieceCount(load.pieces),
+        pieces: PieceCount(backend.pieces),
         accepting: load.accepting,
     })
 }
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -15,7 +15,7 @@
     InstanceRecord,
     InstanceState,
     ProcessKind,
-    list_instances, //
+    watch_instances, //
 };
 use tokio::time::sleep;
 use units::{
@@ -33,17 +33,25 @@
     SideDialer, //
 };
 
-const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Wait of one watch; only a changed list is sent before it is over.
+const WATCH_TIME: Duration = Duration::from_secs(30);
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// Reads the list regularly and adapts the links, until aborted.
+/// Watches the list and adapts the links, until aborted.
 pub(crate) async fn follow_members(shared: Arc<EntryShared>) {
+    let mut index = 0;
     loop {
-        match list_instances(shared.settings.platform).await {
-            Ok(records) => shared.take_list(records),
+        match watch_instances(shared.settings.platform, index, WATCH_TIME).await {
+            Ok(list) => {
+                index = list.index;
+                shared.take_list(list.records);
+            }
             // The last list stays in force.
-            Err(_) => shared.metrics.store_errors.inc(),
+            Err(_) => {
+                shared.metrics.store_errors.inc();
+                sleep(RETRY_PAUSE).await;
+            }
         }
-        sleep(LIST_PERIOD).await;
     }
 }
 
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -193,10 +193,10 @@
         for (instance, link) in &state.links {
             let listed = state.listed.get(instance);
             let own = listed.is_some_and(|r| r.data_centre == self.settings.data_centre);
-            let Ok(role) = link.load.role.parse::<EngineRole>() else {
+            let Ok(role) = link.backend.role.parse::<EngineRole>() else {
                 continue;
             };
-            if !own || link.service.is_some() || link.load.pieces == 0 {
+            if !own || link.service.is_some() || link.backend.pieces == 0 {
                 continue;
             }
             sights.push(EngineSight {
@@ -205,7 +205,7 @@
                 unavailable: link.load.changing || !link.load.accepting,
                 prefill_total: WorkAmount(link.load.prefill_total),
                 decode_total: WorkAmount(link.load.decode_total),
-                change_seconds: link.load.role_change_seconds,
+                change_seconds: link.backend.role_change_seconds,
             });
         }
         sights
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -44,6 +44,7 @@
     watch, //
 };
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 use units::{
     ConfigVersion,
     IncarnationId,
@@ -51,6 +52,7 @@
     ServiceName, //
 };
 use wire::{
+    BackendStatus,
     FrameKind,
     LinkSender,
     LoadStatus,
@@ -65,6 +67,9 @@
 /// Lease of a planner; sides refuse orders whose stamps are older.
 pub(crate) const PLANNER_LEASE: Duration = Duration::from_secs(6);
 
+/// Time after a failure during which the store counts as down.
+const STORE_DOWN_TIME: Duration = Duration::from_secs(8);
+
 pub(crate) struct EntryShared {
     pub(crate) settings: EntrySettings,
     pub(crate) identity: PeerIdentity,
@@ -91,6 +96,7 @@
     pub(crate) incarnation: IncarnationId,
     pub(crate) service: Option<ServiceName>,
     pub(crate) load: LoadStatus,
+    pub(crate) backend: BackendStatus,
     pub(crate) leaving: bool,
 }
 
@@ -108,6 +114,8 @@
     pub(crate) limiter: AccountLimiter,
     pub(crate) lease: LeaseKeeper,
     pub(crate) drain: DrainGate,
+    /// When a call of the store failed, unless one has succeeded since.
+    pub(crate) store_failed_at: Option<Instant>,
     pub(crate) cost: CostModel,
     pub(crate) piece_tokens: u32,
     pub(crate) rng: StdRng,
@@ -135,6 +143,7 @@
             limiter: AccountLimiter::default(),
             lease: LeaseKeeper::new(PLANNER_LEASE),
             drain: DrainGate::default(),
+            store_failed_at: None,
             cost: CostModel::from_profile(&profile),
             piece_tokens: profile.piece_tokens,
             rng: StdRng::seed_from_u64(identity.incarnation.0),
@@ -158,6 +167,20 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Notes whether a call of the store gave an answer.
+    pub(crate) fn note_store(&self, answered: bool) {
+        if !answered {
+            self.metrics.store_errors.inc();
+        }
+        self.lock().store_failed_at = (!answered).then(Instant::now);
+    }
+
+    /// Whether the store failed so lately that a caller need not wait to hear it again.
+    pub(crate) fn is_store_down(&self) -> bool {
+        let failed_at = self.lock().store_failed_at;
+        failed_at.is_some_and(|at| at.elapsed() < STORE_DOWN_TIME)
+    }
+
     /// Takes a configuration if it is a later one, and lets every side know.
     pub(crate) fn take_config(&self, version: ConfigVersion, document: bytes::Bytes) {
         let Ok(book) = ConfigBook::from_json(&document) else {
@@ -197,6 +220,7 @@
         FrameKind::Heartbeat(wire::Heartbeat {
             config_version,
             load: None,
+            backend: None,
         })
     }
 }
--- a/crates/fakes/src/kv_http.rs
+++ b/crates/fakes/src/kv_http.rs
@@ -22,6 +22,10 @@
     SessionId,
     SessionRecord,
     SessionRequest,
+    TransactionError,
+    TransactionReply,
+    TransactionResult,
+    TransactionStep,
     ValueRecord, //
 };
 use tokio::sync::watch;
@@ -42,12 +46,18 @@
     StoreFaults,
     ValueState, //
 };
+use crate::query::{
+    argument,
+    read_duration, //
+};
 use crate::server::{
     ServerHandle,
     start, //
 };
 
 const BODY_LIMIT_BYTES: usize = 1_024 * 1_024;
+/// Steps of one transaction, as Consul allows them.
+const TRANSACTION_LIMIT: usize = 64;
 const BODY_TIME: Duration = Duration::from_secs(5);
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 
@@ -141,10 +151,11 @@
     let Ok(body) = read_body(request.into_body(), BODY_LIMIT_BYTES, BODY_TIME).await else {
         return json_reply(StatusCode::PAYLOAD_TOO_LARGE, "");
     };
-    let is_write = method == Method::PUT;
+    let is_write = method == Method::PUT && !is_read_only(&path, &body);
     let reply = match (method, path.split_once('/')) {
         (Method::GET, Some(("kv", key))) => read_key(&shared, key, &query).await,
         (Method::PUT, Some(("kv", key))) => write_key(&shared, key, &query, body),
+        (Method::PUT, None) if path == "txn" => run_transaction(&shared, &body),
         (Method::PUT, Some(("session", rest))) => write_session(&shared, rest, &body),
         _ => json_reply(StatusCode::NOT_FOUND, ""),
     };
@@ -154,26 +165,18 @@
     reply
 }
 
+/// Whether a transaction only reads.
+fn is_read_only(path: &str, body: &[u8]) -> bool {
+    let steps = serde_json::from_slice::<Vec<TransactionStep>>(body).unwrap_or_default();
+    path == "txn" && steps.iter().all(|step| step.kv.verb != "cas")
+}
+
 /// An answer that never comes; the caller's own limit ends it.
 async fn cut() -> Response<ReplyBody> {
     sleep(LONGEST_WAIT).await;
     json_reply(StatusCode::SERVICE_UNAVAILABLE, "")
 }
 
-fn argument<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-}
-
-/// Reads a duration such as `10s` or `250ms`.
-fn read_duration(text: &str) -> Option<Duration> {
-    if let Some(millis) = text.strip_suffix("ms") {
-        return millis.parse().ok().map(Duration::from_millis);
-    }
-    let seconds = text.strip_suffix('s')?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
-
 async fn read_key(shared: &SharedState, key: &str, query: &str) -> Response<ReplyBody> {
     let known: u64 = argument(query, "index")
         .and_then(|text| text.parse().ok())
@@ -225,6 +228,65 @@
     json_reply(StatusCode::OK, written.to_string())
 }
 
+/// Runs reads and compare-and-swap writes together: all of them or none.
+fn run_transaction(shared: &SharedState, body: &[u8]) -> Response<ReplyBody> {
+    let Ok(steps) = serde_json::from_slice::<Vec<TransactionStep>>(body) else {
+        return json_reply(StatusCode::BAD_REQUEST, "");
+    };
+    if steps.len() > TRANSACTION_LIMIT {
+        return json_reply(StatusCode::PAYLOAD_TOO_LARGE, "");
+    }
+    let now = Instant::now();
+    let mut state = shared.lock();
+    let mut results = Vec::new();
+    let mut errors = Vec::new();
+    for (number, step) in steps.iter().enumerate() {
+        let found = state.get(now, &step.kv.key);
+        let index = found.as_ref().map_or(0, |value| value.index);
+        if step.kv.verb == "cas" && step.kv.index != index {
+            let what = "index is stale".to_owned();
+            errors.push(TransactionError {
+                op_index: number,
+                what,
+            });
+        }
+        if step.kv.verb == "get-or-empty" {
+            let kv = value_record(&step.kv.key, found.as_ref());
+            results.push(TransactionResult { kv });
+        }
+    }
+    if !errors.is_empty() {
+        let reply = TransactionReply {
+            results: Vec::new(),
+            errors,
+        };
+        return json_reply(
+            StatusCode::CONFLICT,
+            serde_json::to_vec(&reply).unwrap_or_default(),
+        );
+    }
+    for step in steps.iter().filter(|step| step.kv.verb == "cas") {
+        let data = STANDARD.decode(step.kv.value.as_deref().unwrap_or_default());
+        state.put(&step.kv.key, None, data.unwrap_or_default().into());
+    }
+    drop(state);
+    shared.changed.send_modify(|count| *count += 1);
+    let reply = TransactionReply { results, errors };
+    json_reply(
+        StatusCode::OK,
+        serde_json::to_vec(&reply).unwrap_or_default(),
+    )
+}
+
+fn value_record(key: &str, value: Option<&ValueState>) -> ValueRecord {
+    ValueRecord {
+        key: key.into(),
+        value: value.map(|value| STANDARD.encode(&value.data)),
+        modify_index: value.map_or(0, |value| value.index),
+        session: None,
+    }
+}
+
 fn write_session(shared: &SharedState, rest: &str, body: &[u8]) -> Response<ReplyBody> {
     let now = Instant::now();
     let mut state = shared.lock();
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 mod kv_state;
 mod order_log;
 mod platform;
+mod query;
 mod relay;
 mod server;
 mod service;
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -8,59 +8,84 @@
 };
 use std::time::Duration;
 
-use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
 use store::InstanceRecord;
-use tokio::time::Instant;
-use web::json_reply;
+use tokio::sync::watch;
+use tokio::time::{
+    Instant,
+    sleep_until,
+    timeout_at, //
+};
+use web::{
+    ReplyBody,
+    json_reply, //
+};
 
+use crate::query::{
+    argument,
+    read_duration, //
+};
 use crate::server::{
     ServerHandle,
     start, //
 };
 
+const INDEX_HEADER: &str = "x-consul-index";
+
 /// A list of instances on loopback that shows changes after a lag.
 #[derive(Debug)]
 pub struct FakePlatform {
     server: ServerHandle,
-    shared: Arc<Mutex<ListState>>,
+    shared: Arc<ListShared>,
 }
 
 #[derive(Debug)]
+struct ListShared {
+    state: Mutex<ListState>,
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
 struct ListState {
     shown: Vec<InstanceRecord>,
-    pending: Vec<(Instant, Vec<InstanceRecord>)>,
+    index: u64,
     lag: Duration,
+    calls: u64,
+    bytes: u64,
 }
 
-fn lock(shared: &Mutex<ListState>) -> MutexGuard<'_, ListState> {
-    shared.lock().unwrap_or_else(|e| e.into_inner())
-}
+impl ListShared {
+    fn lock(&self) -> MutexGuard<'_, ListState> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
 
-impl ListState {
-    fn show(&mut self, now: Instant) -> &[InstanceRecord] {
-        let due = self.pending.iter().filter(|(at, _)| *at <= now).count();
-        if let Some((_, records)) = self.pending.drain(..due).next_back() {
-            self.shown = records;
-        }
-        &self.shown
+    fn show(&self, records: Vec<InstanceRecord>) {
+        let mut state = self.lock();
+        state.shown = records;
+        state.index += 1;
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
     }
 }
 
 impl FakePlatform {
     /// Starts the list with a lag.
     pub async fn start(address: SocketAddr, lag: Duration) -> std::io::Result<Self> {
-        let shown = Vec::new();
-        let pending = Vec::new();
-        let shared = Arc::new(Mutex::new(ListState {
-            shown,
-            pending,
+        let state = ListState {
             lag,
-        }));
-        let list = shared.clone();
-        let handler = move |_request| {
-            let body = serde_json::to_vec(lock(&list).show(Instant::now()));
-            async move { json_reply(StatusCode::OK, body.unwrap_or_default()) }
+            ..ListState::default()
         };
+        let (changed, _) = watch::channel(0);
+        let state = Mutex::new(state);
+        let shared = Arc::new(ListShared { state, changed });
+        let list = shared.clone();
+        let handler = move |request| read_list(list.clone(), request);
         let server = start(address, handler).await?;
         Ok(Self { server, shared })
     }
@@ -72,15 +97,43 @@
 
     /// Replaces the list; callers see it after the lag.
     pub fn set(&self, records: Vec<InstanceRecord>) {
-        let mut state = lock(&self.shared);
-        let at = Instant::now() + state.lag;
-        state.pending.push((at, records));
+        let lag = self.shared.lock().lag;
+        if lag.is_zero() {
+            self.shared.show(records);
+            return;
+        }
+        let shared = self.shared.clone();
+        let due = Instant::now() + lag;
+        tokio::spawn(async move {
+            sleep_until(due).await;
+            shared.show(records);
+        });
     }
 
-    /// Replaces the list at once.
-    pub fn set_now(&self, records: Vec<InstanceRecord>) {
-        let mut state = lock(&self.shared);
-        state.pending.clear();
-        state.shown = records;
+    /// Reads of the list so far, and the bytes that they brought.
+    pub fn traffic(&self) -> (u64, u64) {
+        let state = self.shared.lock();
+        (state.calls, state.bytes)
+    }
+}
+
+async fn read_list(shared: Arc<ListShared>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let query = request.uri().query().unwrap_or_default();
+    let known: Option<u64> = argument(query, "index").and_then(|text| text.parse().ok());
+    let wait = argument(query, "wait").and_then(read_duration);
+    let until = Instant::now() + wait.unwrap_or_default();
+    let mut changes = shared.changed.subscribe();
+    while known == Some(shared.lock().index) && Instant::now() < until {
+        // Running out of time ends the loop.
+        let _ = timeout_at(until, changes.changed()).await;
+    }
+    let mut state = shared.lock();
+    let body = serde_json::to_vec(&state.shown).unwrap_or_default();
+    state.calls += 1;
+    state.bytes += body.len() as u64;
+    let mut reply = json_reply(StatusCode::OK, body);
+    if let Ok(value) = HeaderValue::from_str(&state.index.to_string()) {
+        reply.headers_mut().insert(INDEX_HEADER, value);
     }
+    reply
 }
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -16,9 +16,9 @@
 };
 
 /// Shards over which claims are spread.
-pub const CLAIM_SHARDS: u32 = 16;
+pub const CLAIM_SHARDS: u32 = 256;
 /// Milliseconds for which a claim is kept.
-const CLAIM_LIFETIME_MS: u64 = 24 * 3_600 * 1_000;
+pub const CLAIM_LIFETIME_MS: u64 = 3_600 * 1_000;
 /// Claims that one shard holds at most, so that its value stays below the store's limit.
 const SHARD_LIMIT: usize = 2_500;
 
@@ -55,7 +55,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
-    /// Ticket in its text form.
+    /// Ticket in its text form, without its signature.
     pub ticket: String,
     /// Digest of the body.
     pub body: String,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 
 pub use answer::AnswerAssembler;
 pub use answer::ChunkVerdict;
+pub use claim::CLAIM_LIFETIME_MS;
 pub use claim::CLAIM_SHARDS;
 pub use claim::ClaimKey;
 pub use claim::ClaimRecord;
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -52,6 +52,20 @@
         ])
     }
 
+    /// The ticket without its signature, as claims keep it.
+    pub fn to_unsigned(&self) -> String {
+        let mut ticket = self.clone();
+        ticket.signature.clear();
+        ticket.to_string()
+    }
+
+    /// The ticket with the signature of the system.
+    #[must_use]
+    pub fn signed(mut self, secret: &SharedSecret, account: &AccountName, call: &CallName) -> Self {
+        self.signature = self.sign_parts(secret, account, call);
+        self
+    }
+
     /// Whether it was given out by the system for this account and call.
     pub fn is_genuine(
         &self,
--- a/crates/policy/tests/once.rs
+++ b/crates/policy/tests/once.rs
@@ -123,7 +123,7 @@
             .vault
             .issue(stamp, self.nonce, &account(), &call());
         let record = ClaimRecord {
-            ticket: ticket.to_string(),
+            ticket: ticket.to_unsigned(),
             body: String::new(),
             at_ms: self.now_ms,
         };
@@ -139,7 +139,8 @@
             return;
         }
         if let ClaimVerdict::Bound(record) = verdict {
-            let ticket = record.ticket.parse().unwrap();
+            let ticket: CallTicket = record.ticket.parse().unwrap();
+            let ticket = ticket.signed(&secret(), &account(), &call());
             self.bound.entry(key).or_default().push(ticket);
         }
     }
@@ -149,7 +150,7 @@
             return Ok(());
         };
         let ticket = tickets[number % tickets.len()].clone();
-        let text = ticket.to_string();
+        let text = ticket.to_unsigned();
         let side = usize::from(ticket.instance.as_str() == "orders-1");
         let stamp = self.stamp(side);
         match self.sides[side]
--- a/crates/side/src/crash.rs
+++ b/crates/side/src/crash.rs
@@ -49,9 +49,9 @@
             fingerprints: vec![fingerprint.0],
             instance: self.identity.instance.to_string(),
         };
-        for sender in state.links.values() {
+        for link in state.links.values() {
             // A link that is gone learns of the crash from other entries.
-            let _ = sender.send(FrameKind::Suspect(notice.clone()));
+            let _ = link.sender.send(FrameKind::Suspect(notice.clone()));
         }
         let record = DecisionRecord::new(DecisionKind::Suspect, "the engine broke its stream")
             .request(hex::encode(&job.run.request))
@@ -90,9 +90,9 @@
         {
             return;
         }
-        for (link, sender) in &state.links {
-            if *link != from {
-                let _ = sender.send(FrameKind::Suspect(notice.clone()));
+        for (number, link) in &state.links {
+            if *number != from {
+                let _ = link.sender.send(FrameKind::Suspect(notice.clone()));
             }
         }
     }
--- a/crates/side/src/daemon.rs
+++ b/crates/side/src/daemon.rs
@@ -18,10 +18,7 @@
 };
 use units::IncarnationId;
 use web::listen;
-use wire::{
-    LinkSender,
-    PeerIdentity, //
-};
+use wire::PeerIdentity;
 
 use crate::SideError;
 use crate::engine_watch::watch_engine;
@@ -116,7 +113,7 @@
             task.abort();
         }
         let mut state = self.shared.lock();
-        state.links.values().for_each(LinkSender::sever);
+        state.links.values().for_each(|link| link.sender.sever());
         state.links.clear();
         let keys: Vec<_> = state.jobs.keys().copied().collect();
         for key in keys {
--- a/crates/side/src/engine_watch.rs
+++ b/crates/side/src/engine_watch.rs
@@ -53,7 +53,7 @@
         self.pump(&mut state);
         drop(state);
         if before != after {
-            self.broadcast(&self.heartbeat());
+            self.send_heartbeats();
         }
     }
 }
--- a/crates/side/src/link.rs
+++ b/crates/side/src/link.rs
@@ -12,11 +12,7 @@
     TcpListener,
     TcpStream, //
 };
-use tokio::time::{
-    MissedTickBehavior,
-    interval,
-    sleep, //
-};
+use tokio::time::sleep;
 use units::ConfigVersion;
 use wire::{
     ConfigDocument,
@@ -30,10 +26,11 @@
     accept_link, //
 };
 
-use crate::state::SideShared;
+use crate::state::{
+    EntryLink,
+    SideShared, //
+};
 
-/// Period of heartbeats to each entry.
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(300);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts links until the process stops.
@@ -50,11 +47,9 @@
 
 /// Sends heartbeats to all entries until the process stops.
 pub(crate) async fn send_heartbeats(shared: Arc<SideShared>) {
-    let mut ticks = interval(HEARTBEAT_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        shared.broadcast(&shared.heartbeat());
+        sleep(shared.heartbeat_period()).await;
+        shared.send_heartbeats();
         shared.keep_waiting_alive();
     }
 }
@@ -75,7 +70,7 @@
     let record =
         DecisionRecord::new(DecisionKind::Link, "an entry connected").chosen(&peer.instance);
     shared.log.decide(record);
-    let _ = sender.send(shared.heartbeat());
+    shared.greet_entry(number);
     if shared.lock().is_leaving() {
         let _ = sender.send(FrameKind::Leave(LeaveNotice { leaving: true }));
     }
@@ -115,7 +110,11 @@
         let mut state = self.lock();
         let number = state.next_link;
         state.next_link += 1;
-        state.links.insert(number, sender);
+        let link = EntryLink {
+            sender,
+            described: None,
+        };
+        state.links.insert(number, link);
         self.metrics.links.set(state.links.len() as i64);
         number
     }
@@ -182,7 +181,7 @@
             self.tell_leaving(drained, "the operators' configuration says so");
         }
         // Entries that are behind see the version at once.
-        self.broadcast(&self.heartbeat());
+        self.send_heartbeats();
     }
 
     /// Tells all entries whether this process takes new work.
--- a/crates/side/src/load.rs
+++ b/crates/side/src/load.rs
@@ -1,53 +1,109 @@
-//! The load that heartbeats carry.
+//! The load and the backend server's description that heartbeats carry.
+
+use std::time::Duration;
 
 use conf::BackendKind;
 use policy::CostModel;
 use units::TokenCount;
 use wire::{
+    BackendStatus,
     FrameKind,
     Heartbeat,
+    LinkSender,
     LoadStatus, //
 };
 
-use crate::state::SideShared;
+use crate::state::{
+    EntryLink,
+    SideShared,
+    SideState, //
+};
+
+/// Period of heartbeats while few entries are connected.
+const LEAST_PERIOD: Duration = Duration::from_millis(300);
+/// Longest period, within which entries must not think that the process is silent.
+const GREATEST_PERIOD: Duration = Duration::from_millis(900);
+/// Part of the period for each entry, so that the bytes sent grow slower than the entries.
+const PERIOD_PER_ENTRY: Duration = Duration::from_millis(60);
 
 impl SideShared {
-    /// The heartbeat to send now.
-    pub(crate) fn heartbeat(&self) -> FrameKind {
-        let state = self.lock();
+    /// Time until the next heartbeats.
+    pub(crate) fn heartbeat_period(&self) -> Duration {
+        let entries = self.lock().links.len() as u32;
+        (PERIOD_PER_ENTRY * entries).clamp(LEAST_PERIOD, GREATEST_PERIOD)
+    }
+
+    /// Sends a heartbeat to every entry, with the description where it has changed.
+    pub(crate) fn send_heartbeats(&self) {
+        let mut state = self.lock();
+        let beat = self.heartbeat(&state);
+        let backend = self.describe_backend(&state);
+        for link in state.links.values_mut() {
+            send_beat(link, beat.clone(), &backend);
+        }
+    }
+
+    /// Sends the first heartbeat on a link.
+    pub(crate) fn greet_entry(&self, number: u64) {
+        let mut state = self.lock();
+        let beat = self.heartbeat(&state);
+        let backend = self.describe_backend(&state);
+        if let Some(link) = state.links.get_mut(&number) {
+            send_beat(link, beat, &backend);
+        }
+    }
+
+    fn heartbeat(&self, state: &SideState) -> Heartbeat {
         let report = state.scheduler.report();
-        let cost = CostModel::from_profile(&state.profile);
-        let service = match &self.settings.kind {
-            BackendKind::Service { name } => name.to_string(),
-            BackendKind::Engine { .. } => String::new(),
-        };
         let accepting = if self.is_engine() {
             report.accepting
         } else {
             !state.is_leaving()
         };
         let load = LoadStatus {
-            role: report.role.to_string(),
-            models: report.models.iter().map(ToString::to_string).collect(),
-            wait: report.wait.iter().map(|(_, wait)| wait.0).collect(),
-            running: report.running.0,
+            wait: report.wait.iter().map(|(_, wait)| wait.0 as f32).collect(),
+            running: report.running.0 as f32,
             streams: report.streams,
             used: report.used.0,
-            pieces: report.pieces.0,
             accepting,
             stamp_ms: self.clock.stamp().0.as_millis() as u64,
-            service,
-            prefill_seconds: cost.prefill_work(TokenCount(1)).0,
-            decode_seconds: cost.decode_work(TokenCount(1)).0,
-            piece_tokens: state.profile.piece_tokens,
             prefill_total: report.prefill_total.0,
             decode_total: report.decode_total.0,
             changing: state.guard.is_busy(),
-            role_change_seconds: state.profile.role_change_seconds,
         };
-        FrameKind::Heartbeat(Heartbeat {
+        Heartbeat {
             config_version: state.keeper.version().0,
             load: Some(load),
-        })
+            backend: None,
+        }
+    }
+
+    fn describe_backend(&self, state: &SideState) -> BackendStatus {
+        let report = state.scheduler.report();
+        let cost = CostModel::from_profile(&state.profile);
+        let service = match &self.settings.kind {
+            BackendKind::Service { name } => name.to_string(),
+            BackendKind::Engine { .. } => String::new(),
+        };
+        BackendStatus {
+            role: report.role.to_string(),
+            models: report.models.iter().map(ToString::to_string).collect(),
+            service,
+            pieces: report.pieces.0,
+            piece_tokens: state.profile.piece_tokens,
+            prefill_seconds: cost.prefill_work(TokenCount(1)).0,
+            decode_seconds: cost.decode_work(TokenCount(1)).0,
+            role_change_seconds: state.profile.role_change_seconds,
+        }
+    }
+}
+
+fn send_beat(link: &mut EntryLink, mut beat: Heartbeat, backend: &BackendStatus) {
+    if link.described.as_ref() != Some(backend) {
+        beat.backend = Some(backend.clone());
+    }
+    let sender: &LinkSender = &link.sender;
+    if sender.send(FrameKind::Heartbeat(beat)) {
+        link.described = Some(backend.clone());
     }
 }
--- a/crates/side/src/order.rs
+++ b/crates/side/src/order.rs
@@ -77,7 +77,7 @@
 
     async fn change_role(self: Arc<Self>, binding: OrderBinding, role: EngineRole) {
         self.lock().update_accepting();
-        self.broadcast(&self.heartbeat());
+        self.send_heartbeats();
         self.empty_engine(Instant::now() + FINISH_TIME).await;
         // Emptying takes time, in which the authority may have been lost.
         let checked = self.lock().guard.check(self.clock.stamp(), &binding);
@@ -91,7 +91,7 @@
             state.update_accepting();
             self.pump(&mut state);
         }
-        self.broadcast(&self.heartbeat());
+        self.send_heartbeats();
     }
 
     /// Waits for running streams, then hands over the rest.
--- a/crates/side/src/state.rs
+++ b/crates/side/src/state.rs
@@ -31,6 +31,7 @@
 };
 use tokio::time::Instant;
 use wire::{
+    BackendStatus,
     FrameKind,
     LinkSender,
     PeerIdentity, //
@@ -61,7 +62,7 @@
     pub(crate) scheduler: SideScheduler,
     pub(crate) jobs: BTreeMap<JobKey, SideJob>,
     pub(crate) next_job: u64,
-    pub(crate) links: BTreeMap<u64, LinkSender>,
+    pub(crate) links: BTreeMap<u64, EntryLink>,
     pub(crate) next_link: u64,
     pub(crate) drain: DrainGate,
     /// Whether the operators' configuration drains this instance.
@@ -77,6 +78,13 @@
     pub(crate) profile: EngineProfile,
 }
 
+/// A link to an entry.
+pub(crate) struct EntryLink {
+    pub(crate) sender: LinkSender,
+    /// Description that was sent last.
+    pub(crate) described: Option<BackendStatus>,
+}
+
 /// Somebody who waits for the outcome of a running call.
 pub(crate) struct CallWaiter {
     pub(crate) sender: LinkSender,
@@ -139,7 +147,12 @@
 
     /// Sends a frame to every entry.
     pub(crate) fn broadcast(&self, kind: &FrameKind) {
-        let senders: Vec<LinkSender> = self.lock().links.values().cloned().collect();
+        let senders: Vec<LinkSender> = self
+            .lock()
+            .links
+            .values()
+            .map(|link| link.sender.clone())
+            .collect();
         for sender in senders {
             // A link that is gone is removed by its own task.
             let _ = sender.send(kind.clone());
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -16,13 +16,18 @@
     SessionId,
     SessionRequest,
     StoredValue,
+    SwapRequest,
     acquire_path,
     check_status,
     key_path,
     read_bool,
+    read_results,
     read_session,
+    read_steps,
+    read_swapped,
     read_value,
     swap_path,
+    swap_steps,
     watch_path, //
 };
 use crate::{
@@ -33,7 +38,8 @@
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 /// Slack that a watch gets beyond its wait before its answer counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(1_500);
-const VALUE_LIMIT_BYTES: usize = 2 * 1024 * 1024;
+const VALUE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+const TRANSACTION_PATH: &str = "/v1/txn";
 
 /// Talks to the platform's key-value service.
 #[derive(Debug, Clone)]
@@ -81,6 +87,22 @@
         read_bool(reply.status.as_u16(), &reply.body)
     }
 
+    /// Reads several values in one call, an index of 0 standing for an absent one.
+    pub async fn get_many(&self, keys: &[StoreKey]) -> Result<Vec<StoredValue>, StoreError> {
+        let body = serde_json::to_vec(&read_steps(keys)).unwrap_or_default();
+        let path = TRANSACTION_PATH.to_owned();
+        let reply = self.call(Method::PUT, path, body.into(), CALL_TIME).await?;
+        read_results(reply.status.as_u16(), &reply.body)
+    }
+
+    /// Writes several values in one call, all of them or none.
+    pub async fn swap_many(&self, swaps: &[SwapRequest]) -> Result<bool, StoreError> {
+        let body = serde_json::to_vec(&swap_steps(swaps)).unwrap_or_default();
+        let path = TRANSACTION_PATH.to_owned();
+        let reply = self.call(Method::PUT, path, body.into(), CALL_TIME).await?;
+        read_swapped(reply.status.as_u16())
+    }
+
     /// Creates a session.
     pub async fn create_session(&self, request: &SessionRequest) -> Result<SessionId, StoreError> {
         let body = serde_json::to_vec(request).unwrap_or_default();
--- a/crates/store/src/instances.rs
+++ b/crates/store/src/instances.rs
@@ -25,6 +25,7 @@
 };
 
 const CALL_TIME: Duration = Duration::from_millis(2_000);
+const INDEX_HEADER: &str = "x-consul-index";
 const LIST_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Which process of the system runs on an instance.
@@ -65,11 +66,30 @@
     pub state: InstanceState,
 }
 
-/// Reads the list from the platform.
-pub async fn list_instances(address: SocketAddr) -> Result<Vec<InstanceRecord>, StoreError> {
-    let call = HttpCall::new(address, Method::GET, "/v1/instances");
-    let reply = send_call(call, LIST_LIMIT_BYTES, CALL_TIME).await;
+/// The list at one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceList {
+    /// Index of its last change, for the next read.
+    pub index: u64,
+    /// The instances.
+    pub records: Vec<InstanceRecord>,
+}
+
+/// Waits until the list changes beyond an index, or the wait is over, and reads it.
+pub async fn watch_instances(
+    address: SocketAddr,
+    index: u64,
+    wait: Duration,
+) -> Result<InstanceList, StoreError> {
+    let path = format!("/v1/instances?index={index}&wait={}ms", wait.as_millis());
+    let call = HttpCall::new(address, Method::GET, path);
+    let reply = send_call(call, LIST_LIMIT_BYTES, wait + CALL_TIME).await;
     let reply = reply.map_err(classify)?;
     check_status(reply.status.as_u16())?;
-    read_json(&reply.body)
+    let index = reply.headers.get(INDEX_HEADER);
+    let index = index.and_then(|value| value.to_str().ok());
+    Ok(InstanceList {
+        index: index.and_then(|text| text.parse().ok()).unwrap_or(0),
+        records: read_json(&reply.body)?,
+    })
 }
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -97,6 +97,131 @@
     }
 }
 
+/// One step of a transaction.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct TransactionStep {
+    /// What it does to a key.
+    #[serde(rename = "KV")]
+    pub kv: TransactionVerb,
+}
+
+/// What a step does to a key.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct TransactionVerb {
+    /// `cas` or `get-or-empty`.
+    pub verb: String,
+    /// Key.
+    pub key: String,
+    /// Value in Base64, for `cas`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+    /// Index expected, for `cas`.
+    #[serde(default)]
+    pub index: u64,
+}
+
+/// Answer to a transaction.
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct TransactionReply {
+    /// Values read, in the order of the steps.
+    pub results: Vec<TransactionResult>,
+    /// Steps for which nothing was done.
+    pub errors: Vec<TransactionError>,
+}
+
+/// A value that a transaction read.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct TransactionResult {
+    /// The value.
+    #[serde(rename = "KV")]
+    pub kv: ValueRecord,
+}
+
+/// Why a transaction did nothing.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct TransactionError {
+    /// Number of the step.
+    pub op_index: usize,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+/// A write of one key in a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SwapRequest {
+    /// Key.
+    pub key: StoreKey,
+    /// Index that it must still have, 0 for an absent one.
+    pub expected: u64,
+    /// New value.
+    pub data: Bytes,
+}
+
+pub(crate) fn read_steps(keys: &[StoreKey]) -> Vec<TransactionStep> {
+    let step = |key: &StoreKey| TransactionStep {
+        kv: TransactionVerb {
+            verb: "get-or-empty".into(),
+            key: key.to_string(),
+            value: None,
+            index: 0,
+        },
+    };
+    keys.iter().map(step).collect()
+}
+
+pub(crate) fn swap_steps(swaps: &[SwapRequest]) -> Vec<TransactionStep> {
+    let step = |swap: &SwapRequest| TransactionStep {
+        kv: TransactionVerb {
+            verb: "cas".into(),
+            key: swap.key.to_string(),
+            value: Some(STANDARD.encode(&swap.data)),
+            index: swap.expected,
+        },
+    };
+    swaps.iter().map(step).collect()
+}
+
+/// Reads the values of a transaction, an index of 0 standing for an absent one.
+pub(crate) fn read_results(status: u16, body: &[u8]) -> Result<Vec<StoredValue>, StoreError> {
+    check_status(status)?;
+    let reply: TransactionReply = read_json(body)?;
+    reply
+        .results
+        .into_iter()
+        .map(|result| decode_record(result.kv))
+        .collect()
+}
+
+/// Whether the writes of a transaction took effect; a conflict means that none did.
+pub(crate) fn read_swapped(status: u16) -> Result<bool, StoreError> {
+    if status == 409 {
+        return Ok(false);
+    }
+    check_status(status)?;
+    Ok(true)
+}
+
+fn decode_record(record: ValueRecord) -> Result<StoredValue, StoreError> {
+    let text = record.value.unwrap_or_default();
+    let decoded = STANDARD.decode(text).ok();
+    let reason = "a value is not Base64";
+    let data = decoded.context(ShapeSnafu { reason })?;
+    Ok(StoredValue {
+        data: data.into(),
+        index: record.modify_index,
+        session: record.session,
+    })
+}
+
 pub(crate) fn key_path(key: &StoreKey) -> String {
     format!("/v1/kv/{key}")
 }
@@ -119,18 +244,7 @@
     }
     check_status(status)?;
     let records: Vec<ValueRecord> = read_json(body)?;
-    let Some(record) = records.into_iter().next() else {
-        return Ok(None);
-    };
-    let text = record.value.unwrap_or_default();
-    let decoded = STANDARD.decode(text).ok();
-    let reason = "a value is not Base64";
-    let data = decoded.context(ShapeSnafu { reason })?;
-    Ok(Some(StoredValue {
-        data: data.into(),
-        index: record.modify_index,
-        session: record.session,
-    }))
+    records.into_iter().next().map(decode_record).transpose()
 }
 
 pub(crate) fn read_bool(status: u16, body: &[u8]) -> Result<bool, StoreError> {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{
+    HeaderMap,
     Method,
     Request,
     Response,
@@ -72,6 +73,8 @@
 pub struct HttpReply {
     /// Status of the reply.
     pub status: StatusCode,
+    /// Headers of the reply.
+    pub headers: HeaderMap,
     /// Body of the reply.
     pub body: Bytes,
 }
@@ -111,9 +114,13 @@
 ) -> Result<HttpReply, WebError> {
     let exchange = async {
         let reply = open_untimed(call).await?;
-        let status = reply.status();
-        let body = read_body(reply.into_body(), limit, time).await?;
-        Ok(HttpReply { status, body })
+        let (parts, body) = reply.into_parts();
+        let body = read_body(body, limit, time).await?;
+        Ok(HttpReply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
     };
     let done = tokio::time::timeout(time, exchange).await;
     done.unwrap_or(Err(WebError::Timeout))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,6 +24,7 @@
 pub use link::connect_link;
 pub use messages::AnswerChunk;
 pub use messages::AnswerEnd;
+pub use messages::BackendStatus;
 pub use messages::CallOutcome;
 pub use messages::CallRun;
 pub use messages::ConfigDocument;
