--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -16,11 +16,11 @@
 };
 
 /// Shards over which claims are spread.
-pub const CLAIM_SHARDS: u32 = 256;
+pub const CLAIM_SHARDS: u32 = 1_024;
 /// Milliseconds for which a claim is kept.
-pub const CLAIM_LIFETIME_MS: u64 = 3_600 * 1_000;
+pub const CLAIM_LIFETIME_MS: u64 = 24 * 3_600 * 1_000;
 /// Claims that one shard holds at most, so that its value stays below the store's limit.
-const SHARD_LIMIT: usize = 2_500;
+const SHARD_LIMIT: usize = 6_000;
 
 /// Digest of an account, a call and a caller's key.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/policy/tests/once.rs
+++ b/crates/policy/tests/once.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use policy::{
+    CLAIM_LIFETIME_MS,
     CallRecord,
     CallTicket,
     ClaimKey,
@@ -245,3 +246,25 @@
         }
     }
 }
+
+/// A key is remembered for its lifetime to the millisecond, and no longer.
+#[test]
+fn claim_at_end_of_lifetime() {
+    let wish = |ticket: &str, at_ms| ClaimWish {
+        key: ClaimKey::new(&account(), &call(), b"order-1"),
+        record: ClaimRecord {
+            ticket: ticket.into(),
+            body: String::new(),
+            at_ms,
+        },
+        dead_ticket: None,
+    };
+    let mut shard = ClaimShard::default();
+    shard.apply(0, &[wish("first", 0)]);
+    let late = CLAIM_LIFETIME_MS - 1;
+    let bound = shard.apply(late, &[wish("second", late)]).remove(0);
+    assert!(matches!(bound, ClaimVerdict::Bound(record) if record.ticket == "first"));
+    let over = CLAIM_LIFETIME_MS;
+    let bound = shard.apply(over, &[wish("third", over)]).remove(0);
+    assert!(matches!(bound, ClaimVerdict::Bound(record) if record.ticket == "third"));
+}
