host, wire, measure, entry: one piece of code for the daemons' programs, smaller files

Change: crate host with the program and the metric set; messages by area; the simulation by routing, steps and faults; following an attempt apart from driving an answer. Answers of classes that take a part of them may end as incomplete.

--- /dev/null
+++ b/crates/demo/src/slopes/hosts.rs
@@ -0,0 +1,164 @@
+//! Peers that only keep their links, so that one daemon's cost can be seen by itself.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use conf::SecretText;
+use fakes::FakePlatform;
+use policy::SharedSecret;
+use store::{
+    InstanceRecord,
+    InstanceState,
+    ProcessKind, //
+};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use units::IncarnationId;
+use wire::{
+    BackendStatus,
+    FrameKind,
+    Heartbeat,
+    LinkTimes,
+    LoadStatus,
+    PeerIdentity,
+    accept_link,
+    connect_link, //
+};
+
+const CENTRES: usize = 12;
+const MODELS: usize = 9;
+const SIDE_PERIOD: Duration = Duration::from_millis(900);
+const ENTRY_PERIOD: Duration = Duration::from_millis(900);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
+
+type AnyError = Box<dyn Error + Send + Sync>;
+
+fn read_secret(text: &str) -> Result<SharedSecret, AnyError> {
+    let secret = SecretText::try_from(text.to_owned())?;
+    Ok(SharedSecret::new(secret.as_bytes()))
+}
+
+fn load(stamp_ms: u64) -> LoadStatus {
+    LoadStatus {
+        wait: vec![0.1, 0.2, 0.3],
+        running: 12.5,
+        streams: 20,
+        used: 3_000,
+        accepting: true,
+        stamp_ms,
+        prefill_total: 1_000.0 + stamp_ms as f64,
+        decode_total: 3_000.0 + stamp_ms as f64,
+        changing: false,
+    }
+}
+
+fn backend(number: usize) -> BackendStatus {
+    BackendStatus {
+        role: "mixed".into(),
+        models: vec![format!("model-{}", number % MODELS)],
+        service: String::new(),
+        pieces: 4_000,
+        piece_tokens: 16,
+        prefill_seconds: 0.000_05,
+        decode_seconds: 0.000_6,
+        role_change_seconds: 4.0,
+    }
+}
+
+async fn serve_side(listener: TcpListener, secret: SharedSecret, own: PeerIdentity, number: usize) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
+        let accepted = accept_link(stream, &secret, &own, LinkTimes::default()).await;
+        let Ok(mut link) = accepted else {
+            continue;
+        };
+        let sender = link.sender.clone();
+        tokio::spawn(async move { while link.receiver.recv().await.is_some() {} });
+        tokio::spawn(async move {
+            let mut beat = Heartbeat {
+                config_version: 1,
+                load: Some(load(0)),
+                backend: Some(backend(number)),
+            };
+            let mut stamp_ms = 0;
+            while sender.send(FrameKind::Heartbeat(beat)) {
+                sleep(SIDE_PERIOD).await;
+                stamp_ms += SIDE_PERIOD.as_millis() as u64;
+                beat = Heartbeat {
+                    config_version: 1,
+                    load: Some(load(stamp_ms)),
+                    backend: None,
+                };
+            }
+        });
+    }
+}
+
+/// Hosts side processes and the list that names them, until killed.
+pub(crate) async fn host_sides(
+    list: SocketAddr,
+    count: usize,
+    secret: &str,
+) -> Result<(), AnyError> {
+    let secret = read_secret(secret)?;
+    let platform = FakePlatform::start(list, Duration::ZERO).await?;
+    let mut records = Vec::new();
+    for number in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let own = PeerIdentity {
+            instance: format!("engine-{number}").parse()?,
+            incarnation: IncarnationId(number as u64 + 1),
+        };
+        records.push(InstanceRecord {
+            instance: own.instance.clone(),
+            data_centre: format!("dc-{}", number % CENTRES).parse()?,
+            address: listener.local_addr()?,
+            kind: ProcessKind::Side,
+            state: InstanceState::Live,
+        });
+        tokio::spawn(serve_side(listener, secret.clone(), own, number));
+    }
+    platform.set(records);
+    println!("{count} side processes, list on {}", platform.address());
+    std::future::pending().await
+}
+
+/// Hosts entries that are connected to one side process, until killed.
+pub(crate) async fn host_entries(
+    side: SocketAddr,
+    count: usize,
+    secret: &str,
+) -> Result<(), AnyError> {
+    let secret = read_secret(secret)?;
+    for number in 0..count {
+        let own = PeerIdentity {
+            instance: format!("entry-{number}").parse()?,
+            incarnation: IncarnationId(number as u64 + 1),
+        };
+        tokio::spawn(keep_entry(side, secret.clone(), own));
+    }
+    println!("{count} entries");
+    std::future::pending().await
+}
+
+async fn keep_entry(side: SocketAddr, secret: SharedSecret, own: PeerIdentity) {
+    loop {
+        let connected = connect_link(side, &secret, &own, LinkTimes::default()).await;
+        if let Ok(mut link) = connected {
+            let sender = link.sender.clone();
+            tokio::spawn(async move { while link.receiver.recv().await.is_some() {} });
+            let beat = Heartbeat {
+                config_version: 1,
+                load: None,
+                backend: None,
+            };
+            while sender.send(FrameKind::Heartbeat(beat.clone())) {
+                sleep(ENTRY_PERIOD).await;
+            }
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/demo/src/slopes/router.rs
@@ -0,0 +1,108 @@
+//! Time and memory of routing decisions.
+
+use std::collections::BTreeSet;
+use std::error::Error;
+use std::time::Duration;
+
+use policy::{
+    EngineRole,
+    EngineRouter,
+    LoadReport,
+    RouteNeed,
+    ServiceRank, //
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+use units::{
+    DataCentre,
+    InstanceId,
+    ModelName,
+    PieceCount,
+    WorkAmount, //
+};
+
+const SIZES: [usize; 4] = [16, 160, 1_600, 3_200];
+const DECISIONS: usize = 20_000;
+const CENTRES: usize = 12;
+const MODELS: usize = 9;
+const PAGE_BYTES: usize = 4_096;
+
+type AnyError = Box<dyn Error + Send + Sync>;
+
+/// Memory of this process in bytes.
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|field| field.parse::<usize>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+pub(crate) fn measure() -> Result<(), AnyError> {
+    println!("known  median us  p99 us  bytes each");
+    for size in SIZES {
+        let before = resident_bytes();
+        let (mut router, instances) = fill_router(size)?;
+        let bytes = resident_bytes().saturating_sub(before) / size;
+        let mut times = decide(&mut router, &instances)?;
+        times.sort_unstable();
+        let micros = |part: f64| times[(times.len() as f64 * part) as usize].as_secs_f64() * 1e6;
+        println!(
+            "{size:>5}  {:>9.2}  {:>6.2}  {bytes:>10}",
+            micros(0.5),
+            micros(0.99)
+        );
+    }
+    Ok(())
+}
+
+fn fill_router(size: usize) -> Result<(EngineRouter, Vec<InstanceId>), AnyError> {
+    let mut router = EngineRouter::new("dc-0".parse()?);
+    let mut instances = Vec::new();
+    for number in 0..size {
+        let instance: InstanceId = format!("engine-{number}").parse()?;
+        report(&mut router, number, &instance)?;
+        instances.push(instance);
+    }
+    Ok((router, instances))
+}
+
+fn report(router: &mut EngineRouter, number: usize, instance: &InstanceId) -> Result<(), AnyError> {
+    let centre: DataCentre = format!("dc-{}", number % CENTRES).parse()?;
+    let mut report = LoadReport::idle(EngineRole::Mixed, PieceCount(4_000));
+    report.models = vec![format!("model-{}", number % MODELS).parse()?];
+    report.used = PieceCount((number * 37 % 4_000) as u32);
+    router.report(Instant::now(), instance, &centre, report);
+    Ok(())
+}
+
+fn decide(router: &mut EngineRouter, instances: &[InstanceId]) -> Result<Vec<Duration>, AnyError> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut times = Vec::with_capacity(DECISIONS);
+    for number in 0..DECISIONS {
+        // Reports keep coming, one for each decision.
+        let index = number % instances.len();
+        report(router, index, &instances[index])?;
+        let model: ModelName = format!("model-{}", number % MODELS).parse()?;
+        let need = RouteNeed {
+            model,
+            rank: ServiceRank::Ordinary,
+            start_work: WorkAmount(0.02),
+            decode_work: WorkAmount(0.1),
+            pieces: PieceCount(60),
+            prefix: number as u64 % 5_000,
+            budget: Duration::from_secs(2),
+            imports: false,
+            pin: None,
+            trial: None,
+            avoid: BTreeSet::new(),
+        };
+        let start = std::time::Instant::now();
+        // A refusal costs as much as a choice.
+        let _ = router.route(Instant::now(), &need, &mut rng);
+        times.push(start.elapsed());
+    }
+    Ok(times)
+}
--- a/crates/demo/tests/answers.rs
+++ b/crates/demo/tests/answers.rs
@@ -159,3 +159,28 @@
         assert!(answer.error.is_some());
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn stream_complete_enough() {
+    let mut book = demo::sample_book();
+    let class = book.classes.get_mut(&"kiosk".parse().unwrap()).unwrap();
+    class.completeness = 0.1;
+    let options = SiteOptions {
+        centres: 1,
+        engines: 1,
+        services: 0,
+        ..SiteOptions::default()
+    };
+    let mut site = DemoSite::start_with(options, book).await.unwrap();
+    site.wait_ready().await;
+    let asking = caller(&site, 0);
+    let task = tokio::spawn(async move { asking.stream("kiosk", "half is enough", TOKENS).await });
+    sleep(Duration::from_millis(500)).await;
+    let name = site.sides.keys().next().unwrap().clone();
+    site.take_side(&name).unwrap().kill();
+    let answer = task.await.unwrap();
+    // The class takes a part of the answer; the reason says that it is one.
+    assert_eq!(answer.finish.as_deref(), Some("incomplete"), "{answer:?}");
+    let whole = expected_answer(b"half is enough", TOKENS);
+    assert!(whole.starts_with(&answer.text) && answer.text.len() < whole.len());
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod drive;
 mod error;
 mod failure;
+mod follow;
 mod http;
 mod link;
 mod members;
--- /dev/null
+++ b/crates/fakes/src/main.rs
@@ -0,0 +1,140 @@
+//! Runs one stand-in as a program of its own.
+
+use std::collections::BTreeSet;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use fakes::{
+    FakeEngine,
+    FakeEngineSettings,
+    FakePlatform,
+    FakeService,
+    FakeStore, //
+};
+use policy::{
+    EngineProfile,
+    EngineRole, //
+};
+
+/// Runs a stand-in of the platform or of a backend server on loopback until SIGINT.
+#[derive(FromArgs)]
+struct StandinArgs {
+    #[argh(subcommand)]
+    kind: StandinKind,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum StandinKind {
+    Store(StoreArgs),
+    Platform(PlatformArgs),
+    Engine(EngineArgs),
+    Service(ServiceArgs),
+}
+
+/// the platform's key-value service
+#[derive(FromArgs)]
+#[argh(subcommand, name = "store")]
+struct StoreArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// the platform's list of instances
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// path of a JSON file with the instances, read again every second
+    #[argh(option)]
+    list: PathBuf,
+}
+
+/// a model engine
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+struct EngineArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// model that it has loaded; may be given several times
+    #[argh(option)]
+    model: Vec<String>,
+    /// ignore old fencing numbers
+    #[argh(switch)]
+    ignores_fencing: bool,
+}
+
+/// a plain service
+#[derive(FromArgs)]
+#[argh(subcommand, name = "service")]
+struct ServiceArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: StandinArgs = argh::from_env();
+    match run(args.kind).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("galenarail-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(kind: StandinKind) -> Result<(), Box<dyn Error>> {
+    match kind {
+        StandinKind::Store(args) => {
+            let store = FakeStore::start(args.listen).await?;
+            println!("store on {}", store.address());
+            tokio::signal::ctrl_c().await?;
+        }
+        StandinKind::Platform(args) => run_platform(&args).await?,
+        StandinKind::Engine(args) => {
+            let models: Result<BTreeSet<_>, _> = args.model.iter().map(|m| m.parse()).collect();
+            let settings = FakeEngineSettings {
+                profile: EngineProfile::default(),
+                role: EngineRole::Mixed,
+                models: models?,
+                checks_fencing: !args.ignores_fencing,
+            };
+            let engine = FakeEngine::start(args.listen, settings).await?;
+            println!("engine on {}", engine.address());
+            tokio::signal::ctrl_c().await?;
+        }
+        StandinKind::Service(args) => {
+            let service = FakeService::start(args.listen).await?;
+            println!("service on {}", service.address());
+            tokio::signal::ctrl_c().await?;
+        }
+    }
+    Ok(())
+}
+
+async fn run_platform(args: &PlatformArgs) -> Result<(), Box<dyn Error>> {
+    let platform = FakePlatform::start(args.listen, Duration::ZERO).await?;
+    println!("platform on {}", platform.address());
+    let mut shown = Vec::new();
+    loop {
+        let text = std::fs::read(&args.list)?;
+        if text != shown {
+            platform.set(serde_json::from_slice(&text)?);
+            shown = text;
+        }
+        tokio::select! {
+            _ = tokio::time::sleep(Duration::from_secs(1)) => {}
+            ended = tokio::signal::ctrl_c() => return Ok(ended?),
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,11 @@
+//! What the daemons' programs share: arguments, settings, logs, signals and metrics.
+
+mod args;
+mod metrics;
+mod program;
+
+pub use args::DaemonArgs;
+pub use metrics::MetricSet;
+pub use program::DaemonError;
+pub use program::DaemonProgram;
+pub use program::LogPlace;
--- /dev/null
+++ b/crates/host/src/metrics.rs
@@ -0,0 +1,73 @@
+//! A registry that makes metrics under one prefix.
+
+use prometheus::{
+    Histogram,
+    HistogramOpts,
+    IntCounter,
+    IntCounterVec,
+    IntGauge,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+
+/// Makes and shows the metrics of a process. Names are constants of the code, so that a wrong or
+/// repeated one is found by the first test that starts the process.
+#[derive(Debug)]
+pub struct MetricSet {
+    prefix: &'static str,
+    registry: Registry,
+}
+
+impl MetricSet {
+    /// An empty set whose names begin with a prefix.
+    pub fn new(prefix: &'static str) -> Self {
+        Self {
+            prefix,
+            registry: Registry::new(),
+        }
+    }
+
+    fn name(&self, name: &str) -> String {
+        format!("{}_{name}", self.prefix)
+    }
+
+    fn add<M: prometheus::core::Collector + Clone + 'static>(&self, metric: M) -> M {
+        let added = self.registry.register(Box::new(metric.clone()));
+        added.expect("metric names are unique");
+        metric
+    }
+
+    /// A counter.
+    pub fn counter(&self, name: &str, help: &str) -> IntCounter {
+        let made = IntCounter::new(self.name(name), help);
+        self.add(made.expect("metric names are valid"))
+    }
+
+    /// A counter for each value of a label.
+    pub fn counters(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+        let made = IntCounterVec::new(Opts::new(self.name(name), help), &[label]);
+        self.add(made.expect("metric names are valid"))
+    }
+
+    /// A gauge.
+    pub fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        let made = IntGauge::new(self.name(name), help);
+        self.add(made.expect("metric names are valid"))
+    }
+
+    /// A histogram with the upper bounds of its buckets.
+    pub fn histogram(&self, name: &str, help: &str, bounds: &[f64]) -> Histogram {
+        let options = HistogramOpts::new(self.name(name), help).buckets(bounds.to_vec());
+        let made = Histogram::with_opts(options);
+        self.add(made.expect("metric names are valid"))
+    }
+
+    /// All values in the Prometheus text format.
+    pub fn to_text(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/measure/src/sim_fault.rs
@@ -0,0 +1,197 @@
+//! Crashes, drains, lost caches and role changes.
+
+use std::time::Duration;
+
+use policy::{
+    CrashId,
+    EngineSight,
+    SuspectVerdict, //
+};
+use rand::RngExt;
+use tokio::time::Instant;
+use units::{
+    FingerprintId,
+    WorkAmount, //
+};
+
+use crate::engine::SimEngine;
+use crate::event::SimEvent;
+use crate::job::JobEnd;
+use crate::plan::RoleKind;
+use crate::sim::{
+    DRAIN_TIME,
+    FINISH_TIME,
+    PLAN_PERIOD,
+    RESTART_TIME,
+    START_ATTEMPTS,
+    Simulation, //
+};
+
+impl Simulation<'_> {
+    /// A stream broke off; its entry resumes it elsewhere from what was handed out.
+    pub(crate) fn interrupt(&mut self, job: usize, engine: usize) {
+        self.leave_engine(job, engine);
+        let instance = self.engines[engine].instance.clone();
+        let sim_job = &mut self.jobs[job];
+        sim_job.tried = [instance].into();
+        sim_job.imported = false;
+        sim_job.recomputed += u64::from(sim_job.context().0);
+        self.events
+            .add(self.now + self.site.between_centres, SimEvent::Reroute(job));
+    }
+
+    pub(crate) fn finish(&mut self, job: usize, end: JobEnd) {
+        if end == JobEnd::Whole && self.jobs[job].alone {
+            let fingerprint = self.fingerprint(job);
+            self.suspects.clear(fingerprint);
+        }
+        self.jobs[job].end = end;
+        self.jobs[job].ended = Some(self.now);
+    }
+
+    pub(crate) fn crash(&mut self, engine: usize) {
+        let until = self.now + RESTART_TIME;
+        self.engines[engine].model.crash(until);
+        self.engines[engine].changing = None;
+        self.suspect_all(engine);
+        self.empty(engine);
+        self.start_step(engine);
+    }
+
+    /// Ends all that an engine has, waiting jobs too.
+    pub(crate) fn empty(&mut self, engine: usize) {
+        self.engines[engine].generation += 1;
+        self.engines[engine].coming.clear();
+        self.engines[engine].update_accepting(self.now);
+        for job in self.jobs_on(engine) {
+            self.interrupt(job, engine);
+        }
+    }
+
+    pub(crate) fn jobs_on(&self, engine: usize) -> Vec<usize> {
+        let here = |job: &usize| {
+            let job = &self.jobs[*job];
+            job.engine == Some(engine) && job.end == JobEnd::Running
+        };
+        (0..self.jobs.len()).filter(here).collect()
+    }
+
+    /// All that ran on a crashed engine is suspected of the crash.
+    pub(crate) fn suspect_all(&mut self, engine: usize) {
+        self.crashes += 1;
+        let here = self.jobs_on(engine);
+        let ran: Vec<FingerprintId> = here.iter().map(|job| self.fingerprint(*job)).collect();
+        self.suspects.crash(self.now, CrashId(self.crashes), &ran);
+    }
+
+    pub(crate) fn fingerprint(&self, job: usize) -> FingerprintId {
+        let arrival = &self.jobs[job].arrival;
+        let own = if arrival.poison {
+            arrival.prefix
+        } else {
+            job as u64
+        };
+        FingerprintId(own)
+    }
+
+    /// Whether a job may run, beside others or alone.
+    pub(crate) fn check_suspect(&mut self, job: usize) -> bool {
+        if !self.plan.ranks {
+            return self.jobs[job].attempts <= START_ATTEMPTS;
+        }
+        match self.suspects.verdict(self.now, self.fingerprint(job)) {
+            SuspectVerdict::Free => true,
+            SuspectVerdict::Alone => {
+                self.jobs[job].alone = true;
+                true
+            }
+            SuspectVerdict::Quarantined(_) => false,
+        }
+    }
+
+    pub(crate) fn set_drained(&mut self, engine: usize, drained: bool) {
+        self.engines[engine].drained = drained;
+        self.engines[engine].update_accepting(self.now);
+        // Side processes tell at once that they leave, and that they are back.
+        let instance = self.engines[engine].instance.clone();
+        for router in &mut self.routers {
+            router.set_leaving(&instance, drained);
+        }
+        if drained {
+            self.events
+                .add(self.now + DRAIN_TIME, SimEvent::Restore(engine));
+        }
+    }
+
+    pub(crate) fn lose_caches(&mut self) {
+        for engine in &mut self.engines {
+            if self.rng.random::<f64>() < self.scenario.cache_loss {
+                engine.model.drop_prefixes();
+            }
+        }
+        self.events
+            .add(self.now + Duration::from_secs(1), SimEvent::LoseCaches);
+    }
+
+    pub(crate) fn plan_roles(&mut self) {
+        self.events.add(self.now + PLAN_PERIOD, SimEvent::Plan);
+        let away = self.scenario.store_outage && self.scenario.in_flood(self.elapsed());
+        if away || self.now > self.at(self.scenario.seconds) {
+            return;
+        }
+        let sights: Vec<EngineSight> = self
+            .engines
+            .iter()
+            .filter_map(|e| sight_of(e, self.now))
+            .collect();
+        let change = match self.plan.roles {
+            RoleKind::AllMixed | RoleKind::Split => None,
+            RoleKind::Planned => self.planner.plan(self.now, &sights),
+            RoleKind::Follow => self.planner.follow(self.now, &sights),
+        };
+        let Some(change) = change else {
+            return;
+        };
+        let found = self
+            .engines
+            .iter()
+            .position(|e| e.instance == change.instance);
+        if let Some(engine) = found {
+            self.engines[engine].changing = Some(change.role);
+            self.engines[engine].update_accepting(self.now);
+            self.take_report(engine, self.now);
+            self.events
+                .add(self.now + FINISH_TIME, SimEvent::ChangeDue(engine));
+            self.try_change(engine, false);
+        }
+    }
+
+    /// Changes the role once the engine is empty, or when its streams have had their time.
+    pub(crate) fn try_change(&mut self, engine: usize, due: bool) {
+        let own = &mut self.engines[engine];
+        let busy = own.side.as_ref().is_some_and(|side| side.jobs() > 0);
+        if busy && !due {
+            return;
+        }
+        let Some(role) = own.changing.take() else {
+            return;
+        };
+        own.model.change_role(self.now, role);
+        self.counts.role_changes += 1;
+        self.empty(engine);
+        self.start_step(engine);
+    }
+}
+
+fn sight_of(engine: &SimEngine, now: Instant) -> Option<EngineSight> {
+    let report = engine.side.as_ref()?.report();
+    let away = engine.model.away_until().is_some_and(|until| until > now);
+    Some(EngineSight {
+        instance: engine.instance.clone(),
+        role: engine.model.role(),
+        unavailable: away || engine.drained || engine.changing.is_some(),
+        prefill_total: WorkAmount(report.prefill_total.0),
+        decode_total: WorkAmount(report.decode_total.0),
+        change_seconds: engine.model.profile().role_change_seconds,
+    })
+}
--- /dev/null
+++ b/crates/measure/src/sim_route.rs
@@ -0,0 +1,156 @@
+//! Gives jobs to engines and takes refusals back.
+
+use std::time::Duration;
+
+use policy::RouteNeed;
+use units::TokenCount;
+
+use crate::engine::model_name;
+use crate::event::SimEvent;
+use crate::job::JobEnd;
+use crate::plan::RouteKind;
+use crate::sim::{
+    RETRY_PAUSE,
+    START_ATTEMPTS,
+    Simulation, //
+};
+
+impl Simulation<'_> {
+    /// Gives a job to an engine, or ends it.
+    pub(crate) fn route(&mut self, job: usize) {
+        if self.jobs[job].end != JobEnd::Running {
+            return;
+        }
+        self.jobs[job].attempts += 1;
+        if !self.check_suspect(job) {
+            self.finish(job, JobEnd::Failed);
+            return;
+        }
+        let chosen = match self.plan.route {
+            RouteKind::Predicted => self.predicted(job),
+            RouteKind::RoundRobin => Ok(self.round_robin(job)),
+            RouteKind::LeastOutstanding => Ok(self.least_outstanding(job)),
+        };
+        match chosen {
+            Ok(Some(engine)) => {
+                let home = self.jobs[job].arrival.entry % self.site.centres;
+                let near = home == self.engines[engine].centre;
+                let delay = if near {
+                    Duration::from_micros(200)
+                } else {
+                    self.site.between_centres
+                };
+                self.engines[engine].outstanding += 1;
+                self.jobs[job].engine = Some(engine);
+                self.events
+                    .add(self.now + delay, SimEvent::Reach { job, engine });
+            }
+            Ok(None) if self.jobs[job].produced > 0 || !self.plan.ranks => {
+                self.jobs[job].tried.clear();
+                let over =
+                    self.now > self.at(self.scenario.seconds + self.scenario.tail_seconds / 2.0);
+                if over {
+                    self.finish(job, JobEnd::Failed);
+                    return;
+                }
+                self.events
+                    .add(self.now + RETRY_PAUSE, SimEvent::Reroute(job));
+            }
+            _ => self.finish(job, JobEnd::Refused),
+        }
+    }
+
+    pub(crate) fn predicted(&mut self, job: usize) -> Result<Option<usize>, ()> {
+        let site = self.site;
+        let sim_job = &self.jobs[job];
+        let arrival = &sim_job.arrival;
+        let class = &site.classes[arrival.rank.index()];
+        let context = sim_job.context();
+        let left = sim_job.output_left();
+        let due = sim_job.arrived + class.start - site.to_callers;
+        let resumes = sim_job.produced > 0;
+        let need = RouteNeed {
+            model: model_name(),
+            rank: arrival.rank,
+            start_work: self.cost.prefill_work(context),
+            decode_work: self.cost.decode_work(left),
+            pieces: site.profile.pieces_for(TokenCount(context.0 + left.0)),
+            prefix: arrival.prefix,
+            budget: if resumes {
+                Duration::MAX
+            } else {
+                due.saturating_duration_since(self.now)
+            },
+            imports: sim_job.imported,
+            pin: None,
+            trial: sim_job.alone.then_some(self.fingerprint(job)),
+            avoid: sim_job.tried.clone(),
+        };
+        let router = &mut self.routers[arrival.entry];
+        match router.route(self.now, &need, &mut self.rng) {
+            Ok(choice) => {
+                let found = self
+                    .engines
+                    .iter()
+                    .position(|e| e.instance == choice.instance);
+                Ok(found)
+            }
+            Err(_) if resumes => Ok(None),
+            Err(_) => Err(()),
+        }
+    }
+
+    pub(crate) fn usable(&self, job: usize, engine: usize) -> bool {
+        let role = self.engines[engine].model.role();
+        let fits = match self.jobs[job].imported {
+            true => role.generates(),
+            false => role.takes_prompts(),
+        };
+        let away = self.engines[engine]
+            .model
+            .away_until()
+            .is_some_and(|until| until > self.now);
+        fits && !away && !self.engines[engine].drained
+    }
+
+    pub(crate) fn round_robin(&mut self, job: usize) -> Option<usize> {
+        for _ in 0..self.engines.len() {
+            self.next_engine = (self.next_engine + 1) % self.engines.len();
+            if self.usable(job, self.next_engine) {
+                return Some(self.next_engine);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn least_outstanding(&self, job: usize) -> Option<usize> {
+        let usable = (0..self.engines.len()).filter(|engine| self.usable(job, *engine));
+        usable.min_by_key(|engine| self.engines[*engine].outstanding)
+    }
+
+    pub(crate) fn reach(&mut self, job: usize, engine: usize) {
+        let taken = self.engines[engine].take(self.now, job, &self.jobs[job], self.site);
+        if taken.is_err() {
+            self.engines[engine].outstanding -= 1;
+            self.refused(job, engine);
+            return;
+        }
+        self.pump(engine);
+    }
+
+    /// A refusal comes back to the entry, which tries elsewhere a few times.
+    pub(crate) fn refused(&mut self, job: usize, engine: usize) {
+        let instance = self.engines[engine].instance.clone();
+        let sim_job = &mut self.jobs[job];
+        sim_job.tried.insert(instance);
+        sim_job.imported = false;
+        sim_job.engine = None;
+        let more = sim_job.produced > 0 || sim_job.attempts < START_ATTEMPTS;
+        if more {
+            self.events
+                .add(self.now + self.site.between_centres, SimEvent::Reroute(job));
+        } else {
+            self.finish(job, JobEnd::Refused);
+        }
+    }
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -16,6 +16,10 @@
     BrokenSnafu,
     DecodeSnafu, //
 };
+use crate::traffic::{
+    count_received,
+    count_sent, //
+};
 use crate::{
     Frame,
     WireError, //
@@ -24,6 +28,9 @@
 /// Longest frame in bytes; a longer one ends the connection before it is read.
 pub const FRAME_LIMIT_BYTES: usize = 2 * 1024 * 1024;
 
+/// Bytes before each frame that state its length.
+const LENGTH_BYTES: usize = 4;
+
 /// Encodes and decodes frames.
 #[derive(Debug)]
 pub struct FrameCodec {
@@ -54,6 +61,7 @@
         let Some(data) = self.inner.decode(source).context(BrokenSnafu)? else {
             return Ok(None);
         };
+        count_received(data.len() + LENGTH_BYTES);
         let frame = Frame::decode(data.freeze()).context(DecodeSnafu)?;
         Ok(Some(frame))
     }
@@ -64,6 +72,7 @@
 
     fn encode(&mut self, frame: Frame, target: &mut BytesMut) -> Result<(), WireError> {
         let data = Bytes::from(frame.encode_to_vec());
+        count_sent(data.len() + LENGTH_BYTES);
         self.inner.encode(data, target).context(BrokenSnafu)
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod handshake;
 mod link;
 mod messages;
+mod traffic;
 
 pub use codec::FRAME_LIMIT_BYTES;
 pub use codec::FrameCodec;
@@ -42,3 +43,5 @@
 pub use messages::TicketAsk;
 pub use messages::TicketGrant;
 pub use messages::VerdictCode;
+pub use traffic::LinkTraffic;
+pub use traffic::link_traffic;
