--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,5 +1,6 @@
 //! Measures policies side by side, and slopes for the capacity page.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -10,6 +11,7 @@
     RunFigures,
     Scenario,
     SiteModel,
+    draw_goodput,
     format_figures,
     make_workload,
     oracle_figures,
@@ -40,6 +42,9 @@
     /// print one JSON object a line for each policy
     #[argh(switch)]
     json: bool,
+    /// draw the goodput over time into this SVG file
+    #[argh(option)]
+    plot: Option<PathBuf>,
     /// list scenarios, sites and policies
     #[argh(switch)]
     list: bool,
@@ -90,6 +95,10 @@
         rows[plans.len()].push(oracle_figures(&site, &scenario, &workload));
     }
     let means: Vec<RunFigures> = rows.iter().map(|runs| RunFigures::mean(runs)).collect();
+    if let Some(path) = &args.plot {
+        let title = format!("{} at {}, load {}", scenario.name, args.site, args.load);
+        draw_goodput(path, &title, &means)?;
+    }
     if args.json {
         for figures in &means {
             println!("{}", serde_json::to_string(figures).unwrap_or_default());
