entry: a planner reaches its whole data centre; links stay bounded for the others

Change: while an entry holds the lease, it links to every side process of its data centre. Tested: with 2 links for each data centre, the planners have 8 links and the other two entries 4; all serve.

--- a/crates/demo/src/options.rs
+++ b/crates/demo/src/options.rs
@@ -26,6 +26,8 @@
     pub checks_fencing: bool,
     /// Lag of the platform's list.
     pub list_lag: Duration,
+    /// Links of an entry in each data centre.
+    pub sides_per_data_centre: u32,
     /// Bounds on callers.
     pub limits: EntryLimits,
     /// Whether entries reach side processes through relays that can go silent.
@@ -47,6 +49,7 @@
             profile: EngineProfile::default(),
             checks_fencing: true,
             list_lag: Duration::ZERO,
+            sides_per_data_centre: 32,
             limits: EntryLimits::default(),
             relays: false,
             log_dir: None,
--- a/crates/demo/src/site.rs
+++ b/crates/demo/src/site.rs
@@ -166,7 +166,7 @@
             platform: self.platform.address(),
             secret: demo_secret()?,
             log_file: None,
-            sides_per_data_centre: 32,
+            sides_per_data_centre: self.options.sides_per_data_centre,
             limits: self.options.limits,
         };
         let log = self.entry_logs[index].clone();
--- /dev/null
+++ b/crates/demo/tests/members.rs
@@ -0,0 +1,63 @@
+//! Links stay bounded in each data centre; a planner reaches all of its own.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use demo::{
+    DemoSite,
+    SiteOptions, //
+};
+use testutils::SiteCaller;
+use tokio::time::sleep;
+
+async fn links_of(site: &DemoSite, entry: usize) -> usize {
+    let caller = SiteCaller::new(site.entry_address(entry).unwrap());
+    let (_, text) = caller.get("/metrics").await;
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("galenarail_entry_links "))
+        .unwrap();
+    line.split(' ').next_back().unwrap().parse().unwrap()
+}
+
+async fn is_planner(site: &DemoSite, entry: usize) -> bool {
+    let caller = SiteCaller::new(site.entry_address(entry).unwrap());
+    caller
+        .get("/metrics")
+        .await
+        .1
+        .contains("\ngalenarail_entry_planner 1\n")
+}
+
+#[tokio::test(start_paused = true)]
+async fn links_bounded_for_all_but_planner() {
+    let options = SiteOptions {
+        centres: 2,
+        engines: 6,
+        services: 0,
+        entries: 4,
+        sides_per_data_centre: 2,
+        ..SiteOptions::default()
+    };
+    let site = DemoSite::start(options).await.unwrap();
+    site.wait_ready().await;
+    sleep(Duration::from_secs(40)).await;
+    let mut planners = 0;
+    for entry in 0..4 {
+        let links = links_of(&site, entry).await;
+        if is_planner(&site, entry).await {
+            planners += 1;
+            assert_eq!(
+                links,
+                6 + 2,
+                "all of its own data centre and two of the other"
+            );
+        } else {
+            assert_eq!(links, 2 + 2);
+        }
+        let caller = SiteCaller::new(site.entry_address(entry).unwrap());
+        assert_eq!(caller.complete("kiosk", "hello", 3).await.status, 200);
+    }
+    assert_eq!(planners, 2, "one for each data centre");
+}
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -17,7 +17,10 @@
     ProcessKind,
     watch_instances, //
 };
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 use units::{
     DataCentre,
     InstanceId, //
@@ -81,7 +84,8 @@
             .map(|r| (r.instance.clone(), r))
             .collect();
         let leaving = state.listed_leaving();
-        let wanted = self.choose_links(&state.listed);
+        let plans = state.lease.held_epoch(Instant::now()).is_some();
+        let wanted = self.choose_links(&state.listed, plans);
         let known: Vec<InstanceId> = state.dialers.keys().cloned().collect();
         for instance in known {
             let busy = state.attempts.count_on(&instance) > 0;
@@ -124,7 +128,11 @@
         state.dialers.insert(instance.clone(), dialer);
     }
 
-    fn choose_links(&self, listed: &BTreeMap<InstanceId, InstanceRecord>) -> BTreeSet<InstanceId> {
+    fn choose_links(
+        &self,
+        listed: &BTreeMap<InstanceId, InstanceRecord>,
+        plans: bool,
+    ) -> BTreeSet<InstanceId> {
         let mut by_centre: BTreeMap<DataCentre, BTreeSet<InstanceId>> = BTreeMap::new();
         for record in listed
             .values()
@@ -134,7 +142,12 @@
             centre.insert(record.instance.clone());
         }
         let limit = self.settings.sides_per_data_centre as usize;
-        choose_by_centre(&self.identity.instance, &by_centre, limit)
+        let mut chosen = choose_by_centre(&self.identity.instance, &by_centre, limit);
+        if plans && let Some(own) = by_centre.remove(&self.settings.data_centre) {
+            // Who plans a data centre must see and reach all of it.
+            chosen.extend(own);
+        }
+        chosen
     }
 
     /// Whether this entry is one of the few of its data centre that do a duty.
