policy: predict waits for memory by steps that carry prefill, admit with a wider margin

Change: steps in that prediction carry a chunk of prefill on mixed engines; the admission margin is 2.0.

--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -5,7 +5,8 @@
 
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    Serializer, //
 };
 
 /// Rank of a class of work; a smaller rank is served first.
@@ -70,9 +71,14 @@
 
 /// One value for each rank.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
 pub struct RankMap<T>([T; 3]);
 
+impl<T: Serialize> Serialize for RankMap<T> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(self.iter())
+    }
+}
+
 impl<T> RankMap<T> {
     /// Makes the value of each rank with a function.
     pub fn from_fn(mut make: impl FnMut(ServiceRank) -> T) -> Self {
--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -36,7 +36,7 @@
 /// Part of the gap target that steps may take; the rest is for what prediction misses.
 const GAP_MARGIN: f64 = 0.75;
 /// Factor on predicted starts when a job is admitted, so that few admitted jobs are refused later.
-const ADMIT_MARGIN: f64 = 1.25;
+const ADMIT_MARGIN: f64 = 2.0;
 /// First rank whose streams are paused; the gap targets of those above leave no time for it.
 const LEAST_PAUSED: ServiceRank = ServiceRank::Patient;
 /// Wait that is predicted when no end of the running jobs makes room.
@@ -271,7 +271,12 @@
             ends.push((left, job.pieces));
         }
         ends.sort_unstable();
-        let step = self.profile.step_time(TokenCount(0), self.running.len());
+        // Where jobs wait, steps carry prefill as well.
+        let chunk = match self.role {
+            EngineRole::Mixed => MIXED_CHUNK,
+            EngineRole::Prefill | EngineRole::Decode => TokenCount(0),
+        };
+        let step = self.profile.step_time(chunk, self.running.len());
         let longest = ends.last().map_or(0, |(left, _)| *left).max(1);
         for (left, pieces) in ends {
             free += pieces;
