policy: name the parts of the wait predictions

Cause: memory_wait had grown to 45 lines, and the wait by order or floor stood twice. Change: line_wait, demand_ahead, running_ends and busy_step; no decision changes.

--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -39,8 +39,6 @@
 const ADMIT_MARGIN: f64 = 2.0;
 /// First rank whose streams are paused; the gap targets of those above leave no time for it.
 const LEAST_PAUSED: ServiceRank = ServiceRank::Patient;
-/// Wait that is predicted when no end of the running jobs makes room.
-const LONGEST_WAIT: Duration = Duration::from_secs(86_400);
 /// Size of the job for which reports predict waits.
 const PROBE_TOKENS: TokenCount = TokenCount(512);
 /// Gap target of that job.
@@ -66,6 +64,20 @@
     since: Instant,
 }
 
+/// Pieces and streams asked for by waiting jobs.
+#[derive(Debug, Clone, Copy)]
+struct QueueDemand {
+    pieces: u32,
+    jobs: usize,
+}
+
+/// When a running job ends, and what it frees.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RunningEnd {
+    steps: u32,
+    pieces: u32,
+}
+
 /// Queue, memory and stream limits of one backend server.
 #[derive(Debug)]
 pub struct SideScheduler {
@@ -233,81 +245,90 @@
         };
         let own = line_time(rank);
         let before: Duration = ranks_before(rank).map(line_time).sum();
-        let by_order = own + before;
-        let floor = self.queue.floor(rank);
-        let by_floor = if floor > 0.0 {
-            own.div_f64(floor)
-        } else {
-            Duration::MAX
-        };
-        let queued = by_order.min(by_floor);
+        let queued = self.line_wait(rank, before, own);
         let memory = self.memory_wait(rank, pieces, gap);
         (pending.saturating_add(queued)).max(memory)
     }
 
+    /// Time to serve what is ahead of a job: by order of ranks, or by the floor of its own.
+    fn line_wait(&self, rank: ServiceRank, before: Duration, own: Duration) -> Duration {
+        let floor = self.queue.floor(rank);
+        if floor > 0.0 {
+            return (before + own).min(own.div_f64(floor));
+        }
+        before + own
+    }
+
     /// Time until enough running jobs have ended to hold a job of a rank and those before it.
     fn memory_wait(&self, rank: ServiceRank, pieces: u32, gap: Duration) -> Duration {
-        let mut needed = pieces;
-        for other in ranks_before(rank).chain([rank]) {
-            needed += self
-                .queue
-                .line(other)
-                .map(|spec| self.pieces_of(spec))
-                .sum::<u32>();
-        }
+        let ahead = self.demand_ahead(rank);
+        let needed = ahead.pieces + pieces;
         let mut free = self.profile.pieces.0.saturating_sub(self.used);
         let mut slots = self.stream_limit(gap).saturating_sub(self.running.len());
-        let waiting: usize = ranks_before(rank)
-            .chain([rank])
-            .map(|r| self.queue.line(r).count())
-            .sum();
-        if needed <= free && waiting < slots {
+        if needed <= free && ahead.jobs < slots {
             return Duration::ZERO;
         }
-        let mut ends: Vec<(u32, u32)> = Vec::with_capacity(self.running.len());
-        for job in self.running.values() {
-            let pausable = self.is_pausable(job, rank);
-            let left = if pausable { 0 } else { job.output_left() };
-            ends.push((left, job.pieces));
-        }
-        ends.sort_unstable();
-        // Where jobs wait, steps carry prefill as well.
-        let chunk = match self.role {
-            EngineRole::Mixed => MIXED_CHUNK,
-            EngineRole::Prefill | EngineRole::Decode => TokenCount(0),
-        };
-        let step = self.profile.step_time(chunk, self.running.len());
-        let longest = ends.last().map_or(0, |(left, _)| *left).max(1);
-        for (left, pieces) in ends {
-            free += pieces;
+        let step = self.busy_step();
+        let ends = self.running_ends(rank);
+        let longest = ends.last().map_or(1, |end| end.steps.max(1));
+        for end in ends {
+            free += end.pieces;
             slots += 1;
-            if needed <= free && waiting < slots {
-                return step * left;
+            if needed <= free && ahead.jobs < slots {
+                return step * end.steps;
             }
         }
         // More waits than the memory holds at a time: as many rounds as it takes.
         let by_memory = f64::from(needed) / f64::from(free.max(1));
-        let by_slots = (waiting + 1) as f64 / slots.max(1) as f64;
+        let by_slots = (ahead.jobs + 1) as f64 / slots.max(1) as f64;
         (step * longest).mul_f64(by_memory.max(by_slots))
     }
 
+    /// What the jobs of a rank and of those before it ask for.
+    fn demand_ahead(&self, rank: ServiceRank) -> QueueDemand {
+        let mut demand = QueueDemand { pieces: 0, jobs: 0 };
+        for other in ranks_before(rank).chain([rank]) {
+            for spec in self.queue.line(other) {
+                demand.pieces += self.pieces_of(spec);
+                demand.jobs += 1;
+            }
+        }
+        demand
+    }
+
+    /// Running jobs by the steps until they end, as a rank sees them: what it may pause ends now.
+    fn running_ends(&self, rank: ServiceRank) -> Vec<RunningEnd> {
+        let end = |job: &RunningJob| {
+            let pausable = self.is_pausable(job, rank);
+            let steps = if pausable { 0 } else { job.output_left() };
+            let pieces = job.pieces;
+            RunningEnd { steps, pieces }
+        };
+        let mut ends: Vec<RunningEnd> = self.running.values().map(end).collect();
+        ends.sort_unstable();
+        ends
+    }
+
+    /// Time of a step while jobs wait, which carries prefill as well.
+    fn busy_step(&self) -> Duration {
+        let chunk = match self.role {
+            EngineRole::Mixed => MIXED_CHUNK,
+            EngineRole::Prefill | EngineRole::Decode => TokenCount(0),
+        };
+        self.profile.step_time(chunk, self.running.len())
+    }
+
     /// Refuses those that more urgent arrivals have pushed beyond their due time.
     fn shed(&mut self, now: Instant) -> Vec<SideAction> {
         let mut actions = Vec::new();
         let mut before = Duration::ZERO;
         for rank in ServiceRank::ALL {
-            let floor = self.queue.floor(rank);
             let mut own = Duration::ZERO;
             let mut late = Vec::new();
             for spec in self.queue.line(rank) {
                 let prefill = self.prefill_time(spec);
-                let by_floor = if floor > 0.0 {
-                    own.div_f64(floor)
-                } else {
-                    Duration::MAX
-                };
-                let wait = (before + own).min(by_floor);
-                if !spec.resumed && now + wait.min(LONGEST_WAIT) + prefill > spec.due {
+                let wait = self.line_wait(rank, before, own);
+                if !spec.resumed && now + wait + prefill > spec.due {
                     late.push(spec.key);
                     continue;
                 }
