--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod member;
 mod order;
 mod planner;
+mod prefix;
 mod profile;
 mod queue;
 mod rank;
@@ -25,6 +26,7 @@
 mod secret;
 mod suspect;
 mod ticket;
+mod wait;
 
 pub use answer::AnswerAssembler;
 pub use answer::ChunkVerdict;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -22,6 +22,7 @@
     WorkAmount, //
 };
 
+use crate::prefix::PrefixMemory;
 use crate::{
     LoadReport,
     ServiceRank, //
@@ -29,8 +30,6 @@
 
 /// Backend servers looked at for one decision, whatever the size of the fleet.
 const SAMPLE_SIZE: usize = 4;
-/// Prompt prefixes remembered for affinity.
-const PREFIX_LIMIT: usize = 4_096;
 /// Time lost by a hop to another data centre and back.
 const REMOTE_PENALTY: Duration = Duration::from_millis(3);
 /// Age from which a report says nothing.
@@ -127,8 +126,7 @@
     home: DataCentre,
     views: BTreeMap<InstanceId, EngineView>,
     slots: Vec<InstanceId>,
-    prefixes: BTreeMap<u64, InstanceId>,
-    prefix_order: VecDeque<u64>,
+    prefixes: PrefixMemory,
 }
 
 impl EngineRouter {
@@ -138,8 +136,7 @@
             home,
             views: BTreeMap::new(),
             slots: Vec::new(),
-            prefixes: BTreeMap::new(),
-            prefix_order: VecDeque::new(),
+            prefixes: PrefixMemory::default(),
         }
     }
 
@@ -229,7 +226,7 @@
         let mut considered = Vec::with_capacity(candidates.len());
         let mut best: Option<(f64, Duration, bool, InstanceId)> = None;
         for instance in candidates {
-            let cached = self.prefixes.get(&need.prefix) == Some(&instance);
+            let cached = self.prefixes.place(need.prefix) == Some(&instance);
             let (mut score, mut predicted) = self.predict(&instance, need, cached);
             if !self.views[&instance].report.role.generates() {
                 score += handoff.as_secs_f64();
@@ -247,7 +244,7 @@
             return Err(RouteRefusal::WouldMiss(predicted));
         }
         self.count_sent(now, &instance, need);
-        self.remember_prefix(need.prefix, &instance);
+        self.prefixes.remember(need.prefix, &instance);
         Ok(RouteChoice {
             instance,
             predicted,
@@ -288,7 +285,7 @@
         {
             return vec![pinned.clone()];
         }
-        if let Some(instance) = self.prefixes.get(&need.prefix)
+        if let Some(instance) = self.prefixes.place(need.prefix)
             && self.is_usable(now, instance, need)
         {
             found.push(instance.clone());
@@ -385,17 +382,6 @@
             });
         }
     }
-
-    fn remember_prefix(&mut self, prefix: u64, instance: &InstanceId) {
-        if self.prefixes.insert(prefix, instance.clone()).is_none() {
-            self.prefix_order.push_back(prefix);
-        }
-        if self.prefix_order.len() > PREFIX_LIMIT
-            && let Some(oldest) = self.prefix_order.pop_front()
-        {
-            self.prefixes.remove(&oldest);
-        }
-    }
 }
 
 /// A stride without a common factor with the count, near its golden section.
--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -29,7 +29,7 @@
 /// Prefill handed to the engine ahead of time; the rest waits here, where ranks hold.
 const PREFILL_AHEAD: Duration = Duration::from_millis(120);
 /// Chunk that an engine prefills beside its streams.
-const MIXED_CHUNK: TokenCount = TokenCount(256);
+pub(crate) const MIXED_CHUNK: TokenCount = TokenCount(256);
 /// Chunk of an engine that prefills alone.
 const PREFILL_CHUNK: TokenCount = TokenCount(2_048);
 
@@ -56,41 +56,27 @@
 }
 
 #[derive(Debug, Clone)]
-struct RunningJob {
-    spec: JobSpec,
-    pieces: u32,
-    produced: u32,
-    started: bool,
-    since: Instant,
-}
-
-/// Pieces and streams asked for by waiting jobs.
-#[derive(Debug, Clone, Copy)]
-struct QueueDemand {
-    pieces: u32,
-    jobs: usize,
-}
-
-/// When a running job ends, and what it frees.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct RunningEnd {
-    steps: u32,
-    pieces: u32,
+pub(crate) struct RunningJob {
+    pub(crate) spec: JobSpec,
+    pub(crate) pieces: u32,
+    pub(crate) produced: u32,
+    pub(crate) started: bool,
+    pub(crate) since: Instant,
 }
 
 /// Queue, memory and stream limits of one backend server.
 #[derive(Debug)]
 pub struct SideScheduler {
-    profile: EngineProfile,
-    role: EngineRole,
-    models: Vec<ModelName>,
-    accepting: bool,
-    queue: RankQueue<JobSpec>,
-    running: BTreeMap<JobKey, RunningJob>,
-    used: u32,
-    pauses: u64,
-    prefill_total: f64,
-    decode_total: f64,
+    pub(crate) profile: EngineProfile,
+    pub(crate) role: EngineRole,
+    pub(crate) models: Vec<ModelName>,
+    pub(crate) accepting: bool,
+    pub(crate) queue: RankQueue<JobSpec>,
+    pub(crate) running: BTreeMap<JobKey, RunningJob>,
+    pub(crate) used: u32,
+    pub(crate) pauses: u64,
+    pub(crate) prefill_total: f64,
+    pub(crate) decode_total: f64,
 }
 
 impl SideScheduler {
@@ -229,95 +215,6 @@
         }
     }
 
-    /// Time until a job of a rank would start its prefill.
-    fn predicted_wait(&self, rank: ServiceRank, pieces: u32, gap: Duration) -> Duration {
-        let pending: Duration = self
-            .running
-            .values()
-            .filter(|job| !job.started && job.spec.rank <= rank)
-            .map(|job| self.prefill_time(&job.spec))
-            .sum();
-        let line_time = |rank| -> Duration {
-            self.queue
-                .line(rank)
-                .map(|spec| self.prefill_time(spec))
-                .sum()
-        };
-        let own = line_time(rank);
-        let before: Duration = ranks_before(rank).map(line_time).sum();
-        let queued = self.line_wait(rank, before, own);
-        let memory = self.memory_wait(rank, pieces, gap);
-        (pending.saturating_add(queued)).max(memory)
-    }
-
-    /// Time to serve what is ahead of a job: by order of ranks, or by the floor of its own.
-    fn line_wait(&self, rank: ServiceRank, before: Duration, own: Duration) -> Duration {
-        let floor = self.queue.floor(rank);
-        if floor > 0.0 {
-            return (before + own).min(own.div_f64(floor));
-        }
-        before + own
-    }
-
-    /// Time until enough running jobs have ended to hold a job of a rank and those before it.
-    fn memory_wait(&self, rank: ServiceRank, pieces: u32, gap: Duration) -> Duration {
-        let ahead = self.demand_ahead(rank);
-        let needed = ahead.pieces + pieces;
-        let mut free = self.profile.pieces.0.saturating_sub(self.used);
-        let mut slots = self.stream_limit(gap).saturating_sub(self.running.len());
-        if needed <= free && ahead.jobs < slots {
-            return Duration::ZERO;
-        }
-        let step = self.busy_step();
-        let ends = self.running_ends(rank);
-        let longest = ends.last().map_or(1, |end| end.steps.max(1));
-        for end in ends {
-            free += end.pieces;
-            slots += 1;
-            if needed <= free && ahead.jobs < slots {
-                return step * end.steps;
-            }
-        }
-        // More waits than the memory holds at a time: as many rounds as it takes.
-        let by_memory = f64::from(needed) / f64::from(free.max(1));
-        let by_slots = (ahead.jobs + 1) as f64 / slots.max(1) as f64;
-        (step * longest).mul_f64(by_memory.max(by_slots))
-    }
-
-    /// What the jobs of a rank and of those before it ask for.
-    fn demand_ahead(&self, rank: ServiceRank) -> QueueDemand {
-        let mut demand = QueueDemand { pieces: 0, jobs: 0 };
-        for other in ranks_before(rank).chain([rank]) {
-            for spec in self.queue.line(other) {
-                demand.pieces += self.pieces_of(spec);
-                demand.jobs += 1;
-            }
-        }
-        demand
-    }
-
-    /// Running jobs by the steps until they end, as a rank sees them: what it may pause ends now.
-    fn running_ends(&self, rank: ServiceRank) -> Vec<RunningEnd> {
-        let end = |job: &RunningJob| {
-            let pausable = self.is_pausable(job, rank);
-            let steps = if pausable { 0 } else { job.output_left() };
-            let pieces = job.pieces;
-            RunningEnd { steps, pieces }
-        };
-        let mut ends: Vec<RunningEnd> = self.running.values().map(end).collect();
-        ends.sort_unstable();
-        ends
-    }
-
-    /// Time of a step while jobs wait, which carries prefill as well.
-    fn busy_step(&self) -> Duration {
-        let chunk = match self.role {
-            EngineRole::Mixed => MIXED_CHUNK,
-            EngineRole::Prefill | EngineRole::Decode => TokenCount(0),
-        };
-        self.profile.step_time(chunk, self.running.len())
-    }
-
     /// Refuses those that more urgent arrivals have pushed beyond their due time.
     fn shed(&mut self, now: Instant) -> Vec<SideAction> {
         let mut actions = Vec::new();
@@ -424,7 +321,7 @@
     }
 
     /// A stream may be paused for a more urgent rank while its own keeps its floor of memory.
-    fn is_pausable(&self, job: &RunningJob, rank: ServiceRank) -> bool {
+    pub(crate) fn is_pausable(&self, job: &RunningJob, rank: ServiceRank) -> bool {
         if job.spec.rank <= rank || job.spec.rank < LEAST_PAUSED || job.spec.alone {
             return false;
         }
@@ -437,7 +334,7 @@
         f64::from(held.saturating_sub(job.pieces)) >= floor
     }
 
-    fn stream_limit(&self, gap: Duration) -> usize {
+    pub(crate) fn stream_limit(&self, gap: Duration) -> usize {
         let gaps = self.running.values().map(|job| job.spec.gap);
         let tightest = gaps.chain([gap]).min().unwrap_or(gap);
         let chunk = match self.role {
@@ -449,7 +346,7 @@
             .stream_limit(tightest.mul_f64(GAP_MARGIN), chunk)
     }
 
-    fn pieces_of(&self, spec: &JobSpec) -> u32 {
+    pub(crate) fn pieces_of(&self, spec: &JobSpec) -> u32 {
         let output = if self.role.generates() {
             spec.output.0
         } else {
@@ -460,7 +357,7 @@
             .0
     }
 
-    fn prefill_time(&self, spec: &JobSpec) -> Duration {
+    pub(crate) fn prefill_time(&self, spec: &JobSpec) -> Duration {
         if spec.imported {
             let seconds = f64::from(spec.context.0) * self.profile.import_seconds;
             return Duration::from_secs_f64(seconds);
@@ -491,11 +388,11 @@
 }
 
 impl RunningJob {
-    fn output_left(&self) -> u32 {
+    pub(crate) fn output_left(&self) -> u32 {
         self.spec.output.0.saturating_sub(self.produced)
     }
 }
 
-fn ranks_before(rank: ServiceRank) -> impl Iterator<Item = ServiceRank> {
+pub(crate) fn ranks_before(rank: ServiceRank) -> impl Iterator<Item = ServiceRank> {
     ServiceRank::ALL.into_iter().take(rank.index())
 }
