entry, side, policy: hash a prompt once, report a load once, drop what nobody calls

Cause: read over the whole change: an attempt hashed the whole prompt about seven times, twice of them under the entry's lock; each heartbeat predicted all waits twice, each look at the engine twice more for one flag; the choice of duties stood in policy and, used, in the entry; three test files held the same check of whole answers; a drain's reopening and end were never asked for. Change: fingerprint and prefix are fields of the work; a heartbeat makes one report; is_accepting gives the flag; the unused twins are gone; check_whole stands in testutils with its three assertions. Tested: the tests of the workspace, format and lints pass. The time saved was not measured.

--- a/crates/demo/tests/answers.rs
+++ b/crates/demo/tests/answers.rs
@@ -15,6 +15,7 @@
 use testutils::{
     SiteCaller,
     StreamedAnswer, //
+    check_whole,
 };
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -58,13 +59,9 @@
     (0..count).map(one).collect()
 }
 
-async fn check_whole(callers: Vec<JoinHandle<StreamedAnswer>>) {
-    for (number, caller) in callers.into_iter().enumerate() {
-        let answer = caller.await.unwrap();
-        assert!(answer.is_whole(), "caller {number}: {answer:?}");
-        let expected = expected_answer(prompt_of(number).as_bytes(), TOKENS);
-        assert_eq!(answer.text, expected, "caller {number}");
-    }
+/// The whole answer to a caller.
+fn answer_of(number: usize) -> String {
+    expected_answer(prompt_of(number).as_bytes(), TOKENS)
 }
 
 fn busiest(site: &DemoSite) -> InstanceId {
@@ -75,7 +72,7 @@
 #[tokio::test(start_paused = true)]
 async fn stream_concurrent_callers() {
     let site = small_site(false).await;
-    check_whole(start_callers(&site, 20)).await;
+    check_whole(start_callers(&site, 20), answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -95,7 +92,7 @@
     let callers = start_callers(&site, 12);
     sleep(Duration::from_millis(400)).await;
     site.engines[&busiest(&site)].crash(Duration::from_secs(5));
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -107,7 +104,7 @@
     site.engines[&names[0]].crash(Duration::from_secs(5));
     sleep(Duration::from_millis(100)).await;
     site.engines[&names[1]].crash(Duration::from_secs(5));
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -117,7 +114,7 @@
     sleep(Duration::from_millis(400)).await;
     let name = busiest(&site);
     site.take_side(&name).unwrap().kill();
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -127,7 +124,7 @@
     sleep(Duration::from_millis(400)).await;
     // Open connections go silent for good; new ones work.
     site.relays[&busiest(&site)].silence_open();
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -140,7 +137,7 @@
         ..EngineFaults::default()
     };
     site.engines[&busiest(&site)].set_faults(faults);
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/demo/tests/drains.rs
+++ b/crates/demo/tests/drains.rs
@@ -16,6 +16,7 @@
 use testutils::{
     SiteCaller,
     StreamedAnswer, //
+    check_whole,
 };
 use tokio::task::JoinHandle;
 use tokio::time::{
@@ -67,13 +68,9 @@
     (0..count).map(one).collect()
 }
 
-async fn check_whole(callers: Vec<JoinHandle<StreamedAnswer>>) {
-    for (number, caller) in callers.into_iter().enumerate() {
-        let answer = caller.await.unwrap();
-        assert!(answer.is_whole(), "caller {number}: {answer:?}");
-        let expected = expected_answer(prompt_of(number).as_bytes(), TOKENS);
-        assert_eq!(answer.text, expected, "caller {number}");
-    }
+/// The whole answer to a caller.
+fn answer_of(number: usize) -> String {
+    expected_answer(prompt_of(number).as_bytes(), TOKENS)
 }
 
 fn starts_on(site: &DemoSite, name: &InstanceId) -> u32 {
@@ -89,7 +86,7 @@
     let before = starts_on(&site, &name);
     assert!(before > 0, "the side must have work to drain");
     site.take_side(&name).unwrap().stop().await;
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -98,7 +95,7 @@
     let callers = start_callers(&site, 0, 20);
     sleep(Duration::from_millis(600)).await;
     site.entries[0].take().unwrap().stop().await;
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -113,7 +110,7 @@
     site.store.seed("galenarail/config", book.to_json());
     sleep(LEAVE_LIMIT).await;
     let at_limit = starts_on(&site, &name);
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
     assert_eq!(
         starts_on(&site, &name),
         at_limit,
@@ -151,7 +148,7 @@
     sleep(LEAVE_LIMIT).await;
     let at_limit = starts_on(&site, &name);
     stopping.await.unwrap();
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
     assert_eq!(starts_on(&site, &name), at_limit);
 }
 
@@ -165,7 +162,7 @@
     site.set_listed(&name, InstanceState::Leaving);
     sleep(LEAVE_LIMIT).await;
     let at_limit = starts_on(&site, &name);
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
     assert_eq!(starts_on(&site, &name), at_limit);
 }
 
@@ -179,7 +176,7 @@
         site.start_side(name).await.unwrap();
         sleep(Duration::from_secs(2)).await;
     }
-    check_whole(callers).await;
+    check_whole(callers, answer_of).await;
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/demo/tests/planner.rs
+++ b/crates/demo/tests/planner.rs
@@ -17,6 +17,7 @@
 use testutils::{
     SiteCaller,
     StreamedAnswer, //
+    check_whole,
 };
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -63,13 +64,9 @@
     (0..count).map(one).collect()
 }
 
-async fn check_whole(callers: Vec<JoinHandle<StreamedAnswer>>, tokens: u32) {
-    for (number, caller) in callers.into_iter().enumerate() {
-        let answer = caller.await.unwrap();
-        assert!(answer.is_whole(), "caller {number}: {answer:?}");
-        let expected = expected_answer(prompt_of(number).as_bytes(), tokens);
-        assert_eq!(answer.text, expected, "caller {number}");
-    }
+/// The whole answer to a caller that asked for some tokens.
+fn answer_of(tokens: u32) -> impl Fn(usize) -> String {
+    move |number| expected_answer(prompt_of(number).as_bytes(), tokens)
 }
 
 fn orders(site: &DemoSite) -> usize {
@@ -82,7 +79,7 @@
     let site = one_centre().await;
     check_whole(
         start_callers(&site, CALLERS, CALLERS_A_SECOND, FEW_TOKENS),
-        FEW_TOKENS,
+        answer_of(FEW_TOKENS),
     )
     .await;
     let roles: Vec<EngineRole> = site.engines.values().map(|engine| engine.role()).collect();
@@ -105,7 +102,7 @@
     let before = orders(&site);
     check_whole(
         start_callers(&site, CALLERS, CALLERS_A_SECOND, FEW_TOKENS),
-        FEW_TOKENS,
+        answer_of(FEW_TOKENS),
     )
     .await;
     assert_eq!(orders(&site), before);
@@ -125,7 +122,11 @@
     };
     let site = DemoSite::start(options).await.unwrap();
     site.wait_ready().await;
-    check_whole(start_callers(&site, 100, 6, MANY_TOKENS), MANY_TOKENS).await;
+    check_whole(
+        start_callers(&site, 100, 6, MANY_TOKENS),
+        answer_of(MANY_TOKENS),
+    )
+    .await;
     let lines: Vec<String> = site
         .entry_logs
         .iter()
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -38,7 +38,11 @@
     reply_streamed,
     reply_whole, //
 };
-use crate::work::WorkItem;
+use crate::work::{
+    WorkItem,
+    fingerprint_of,
+    prefix_of, //
+};
 
 const CLASS_HEADER: &str = "x-request-class";
 const EVENT_DEPTH: usize = 256;
@@ -93,6 +97,8 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     Ok(WorkItem {
         request: RequestId(rand::random()),
+        fingerprint: fingerprint_of(&class, &api.prompt),
+        prefix: prefix_of(&api.prompt),
         class,
         target,
         api,
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -176,7 +176,7 @@
 
     /// Whether the request must run alone; fails when it may not run at all.
     fn check_suspect(&self) -> Result<bool, CallerFailure> {
-        let fingerprint = self.work.fingerprint();
+        let fingerprint = self.work.fingerprint;
         match self
             .shared
             .lock()
@@ -198,7 +198,7 @@
 
     /// Whether the same request runs through this entry and has shown no token.
     fn is_on_trial(&self) -> bool {
-        let fingerprint = self.work.fingerprint();
+        let fingerprint = self.work.fingerprint;
         self.shared.lock().unproven.place(fingerprint).is_some()
     }
 
@@ -215,7 +215,7 @@
 
     fn clear_suspect(&self, alone: bool) {
         if alone {
-            let fingerprint = self.work.fingerprint();
+            let fingerprint = self.work.fingerprint;
             self.shared.lock().suspects.clear(fingerprint);
         }
     }
@@ -235,15 +235,15 @@
             start_work: state.cost.prefill_work(context),
             decode_work: state.cost.decode_work(left),
             pieces: PieceCount(pieces),
-            prefix: self.work.prefix(),
+            prefix: self.work.prefix,
             budget: if resumes {
                 Duration::MAX
             } else {
                 self.work.start_budget(now)
             },
             imports: !self.kv_handle.is_empty(),
-            pin: state.unproven.place(self.work.fingerprint()),
-            trial: alone.then_some(self.work.fingerprint()),
+            pin: state.unproven.place(self.work.fingerprint),
+            trial: alone.then_some(self.work.fingerprint),
             avoid: self.tried.clone(),
         };
         let choice = state.router.route(now, &need, &mut state.rng);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -50,7 +50,7 @@
 
 impl AnswerDriver {
     pub(crate) async fn attempt(&mut self, choice: &RouteChoice, alone: bool) -> AttemptEnd {
-        let fingerprint = self.work.fingerprint();
+        let fingerprint = self.work.fingerprint;
         let (id, mut events) = {
             let mut state = self.shared.lock();
             state.unproven.begin(fingerprint, &choice.instance);
@@ -75,7 +75,7 @@
     /// Notes once for each attempt that it has shown a token or ended.
     pub(crate) fn prove(&mut self) {
         if !std::mem::replace(&mut self.proven, true) {
-            let fingerprint = self.work.fingerprint();
+            let fingerprint = self.work.fingerprint;
             self.shared.lock().unproven.end(fingerprint);
         }
     }
@@ -109,7 +109,7 @@
             prompt_tokens: self.work.api.prompt_tokens.0,
             max_tokens: self.work.api.max_tokens.0,
             start_ms: start.as_millis() as u32,
-            fingerprint: self.work.fingerprint().0,
+            fingerprint: self.work.fingerprint.0,
             kv_handle: self.kv_handle.clone(),
             alone,
             gap_ms: target.gap_ms,
--- a/crates/entry/src/work.rs
+++ b/crates/entry/src/work.rs
@@ -25,10 +25,26 @@
     pub(crate) class: ClassName,
     pub(crate) target: ClassTarget,
     pub(crate) api: ApiRequest,
+    /// Stands for the class and the body.
+    pub(crate) fingerprint: FingerprintId,
+    /// Stands for the first part of the prompt.
+    pub(crate) prefix: u64,
     pub(crate) arrived: Instant,
     pub(crate) created: u64,
 }
 
+/// Fingerprint of a class and a body, to recognise a request that is sent again.
+pub(crate) fn fingerprint_of(class: &ClassName, prompt: &[u8]) -> FingerprintId {
+    let seed = XxHash3_64::oneshot(class.as_str().as_bytes());
+    FingerprintId(XxHash3_64::oneshot_with_seed(seed, prompt))
+}
+
+/// Hash of the first part of a prompt.
+pub(crate) fn prefix_of(prompt: &[u8]) -> u64 {
+    let end = prompt.len().min(PREFIX_BYTES);
+    XxHash3_64::oneshot(&prompt[..end])
+}
+
 impl WorkItem {
     pub(crate) fn rank(&self) -> ServiceRank {
         self.target.rank
@@ -40,18 +56,6 @@
         due.saturating_duration_since(now)
     }
 
-    /// Stands for the class and the body, to recognise a request that is sent again.
-    pub(crate) fn fingerprint(&self) -> FingerprintId {
-        let seed = XxHash3_64::oneshot(self.class.as_str().as_bytes());
-        FingerprintId(XxHash3_64::oneshot_with_seed(seed, &self.api.prompt))
-    }
-
-    /// Stands for the first part of the prompt.
-    pub(crate) fn prefix(&self) -> u64 {
-        let end = self.api.prompt.len().min(PREFIX_BYTES);
-        XxHash3_64::oneshot(&self.api.prompt[..end])
-    }
-
     /// Tokens still to generate after some were delivered.
     pub(crate) fn output_left(&self, delivered: TokenCount) -> TokenCount {
         TokenCount(self.api.max_tokens.0.saturating_sub(delivered.0))
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -1,7 +1,5 @@
 //! Graceful stops: no new work, then the end of what runs.
 
-use std::time::Duration;
-
 use tokio::time::Instant;
 
 /// Says whether new work is taken, and when a draining process may stop.
@@ -31,11 +29,6 @@
         self.since.get_or_insert(now);
     }
 
-    /// Opens again after a drain that was called off.
-    pub fn reopen(&mut self) {
-        self.since = None;
-    }
-
     /// Whether new work is refused.
     pub fn is_closed(&self) -> bool {
         self.since.is_some()
@@ -45,10 +38,4 @@
     pub fn running(&self) -> usize {
         self.running
     }
-
-    /// Whether a drain is over: all work has ended and `linger` has passed since its start.
-    pub fn is_done(&self, now: Instant, linger: Duration) -> bool {
-        let lingered = self.since.is_some_and(|since| now >= since + linger);
-        lingered && self.running == 0
-    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,7 +47,6 @@
 pub use limiter::AccountLimiter;
 pub use member::choose_by_centre;
 pub use member::choose_members;
-pub use member::has_duty;
 pub use order::LeaseKeeper;
 pub use order::OrderBinding;
 pub use order::OrderGuard;
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -45,15 +45,3 @@
         .flat_map(|instances| choose_members(own, instances, limit))
         .collect()
 }
-
-/// Whether this process is among the few of its data centre that do a shared duty, such as
-/// watching the configuration.
-pub fn has_duty(
-    own: &InstanceId,
-    duty: &InstanceId,
-    peers: &BTreeSet<InstanceId>,
-    few: usize,
-) -> bool {
-    let others = peers.iter().chain(std::iter::once(own));
-    choose_members(duty, others, few).contains(own)
-}
--- a/crates/policy/src/profile.rs
+++ b/crates/policy/src/profile.rs
@@ -39,11 +39,6 @@
         PieceCount(tokens.0.div_ceil(self.piece_tokens.max(1)))
     }
 
-    /// Tokens that the whole memory holds.
-    pub fn memory_tokens(&self) -> TokenCount {
-        TokenCount(self.pieces.0.saturating_mul(self.piece_tokens))
-    }
-
     /// Time of a step that prefills some tokens beside some streams.
     pub fn step_time(&self, prefill: TokenCount, streams: usize) -> Duration {
         let prefill_part = f64::from(prefill.0) * self.prefill_seconds;
--- a/crates/policy/src/sched.rs
+++ b/crates/policy/src/sched.rs
@@ -108,11 +108,16 @@
         self.models = models;
     }
 
-    /// Whether new jobs are taken.
+    /// Sets whether new jobs are taken.
     pub fn set_accepting(&mut self, accepting: bool) {
         self.accepting = accepting;
     }
 
+    /// Whether new jobs are taken.
+    pub fn is_accepting(&self) -> bool {
+        self.accepting
+    }
+
     /// Role that is assumed for the engine.
     pub fn role(&self) -> EngineRole {
         self.role
--- a/crates/side/src/engine_watch.rs
+++ b/crates/side/src/engine_watch.rs
@@ -47,9 +47,9 @@
 
     fn refresh(self: &Arc<Self>) {
         let mut state = self.lock();
-        let before = state.scheduler.report().accepting;
+        let before = state.scheduler.is_accepting();
         state.update_accepting();
-        let after = state.scheduler.report().accepting;
+        let after = state.scheduler.is_accepting();
         self.pump(&mut state);
         drop(state);
         if before != after {
--- a/crates/side/src/load.rs
+++ b/crates/side/src/load.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use conf::BackendKind;
-use policy::CostModel;
+use policy::{
+    CostModel,
+    LoadReport, //
+};
 use units::TokenCount;
 use wire::{
     BackendStatus,
@@ -36,8 +39,9 @@
     /// Sends a heartbeat to every entry, with the description where it has changed.
     pub(crate) fn send_heartbeats(&self) {
         let mut state = self.lock();
-        let beat = self.heartbeat(&state);
-        let backend = self.describe_backend(&state);
+        let report = state.scheduler.report();
+        let beat = self.heartbeat(&state, &report);
+        let backend = self.describe_backend(&state, &report);
         for link in state.links.values_mut() {
             send_beat(link, beat.clone(), &backend);
         }
@@ -46,15 +50,15 @@
     /// Sends the first heartbeat on a link.
     pub(crate) fn greet_entry(&self, number: u64) {
         let mut state = self.lock();
-        let beat = self.heartbeat(&state);
-        let backend = self.describe_backend(&state);
+        let report = state.scheduler.report();
+        let beat = self.heartbeat(&state, &report);
+        let backend = self.describe_backend(&state, &report);
         if let Some(link) = state.links.get_mut(&number) {
             send_beat(link, beat, &backend);
         }
     }
 
-    fn heartbeat(&self, state: &SideState) -> Heartbeat {
-        let report = state.scheduler.report();
+    fn heartbeat(&self, state: &SideState, report: &LoadReport) -> Heartbeat {
         let accepting = if self.is_engine() {
             report.accepting
         } else {
@@ -78,8 +82,7 @@
         }
     }
 
-    fn describe_backend(&self, state: &SideState) -> BackendStatus {
-        let report = state.scheduler.report();
+    fn describe_backend(&self, state: &SideState, report: &LoadReport) -> BackendStatus {
         let cost = CostModel::from_profile(&state.profile);
         let service = match &self.settings.kind {
             BackendKind::Service { name } => name.to_string(),
