--- a/crates/conf/src/error.rs
+++ b/crates/conf/src/error.rs
@@ -9,6 +9,12 @@
 #[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum ConfError {
+    /// No settings file is named.
+    #[snafu(display("no settings file is named; give --settings or set {variable}"))]
+    NoFile {
+        /// Variable of the environment that may name it.
+        variable: &'static str,
+    },
     /// The file can't be read.
     #[snafu(display("cannot read {path:?}: {source}; check the path and its permissions"))]
     ReadFile {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -13,9 +13,8 @@
     let program = DaemonProgram {
         name: "galenarail-entry",
         check: EntrySettings::check,
-        log: |settings: &EntrySettings| LogPlace {
-            instance: settings.instance.clone(),
-            file: settings.log_file.clone(),
+        log: |settings: &EntrySettings| {
+            LogPlace::File(settings.instance.clone(), settings.log_file.clone())
         },
     };
     program.run(
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,160 @@
+//! Starts and stops a gateway.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::GatewaySettings;
+use hyper::body::Incoming;
+use hyper::{
+    Request,
+    Response, //
+};
+use logs::{
+    DecisionKind,
+    DecisionRecord,
+    LogSink, //
+};
+use snafu::ResultExt;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+use web::{
+    ReplyBody,
+    ServerLimits,
+    listen,
+    serve, //
+};
+
+use crate::GatewayError;
+use crate::error::ListenSnafu;
+use crate::follow::{
+    expire_backends,
+    follow_backends,
+    follow_config, //
+};
+use crate::members::follow_members;
+use crate::readiness::{
+    answer_metrics,
+    answer_readiness, //
+};
+use crate::serve::serve_request;
+use crate::shared::{
+    GatewayShared,
+    LifePhase, //
+};
+
+/// Time during which a stopping gateway takes what still arrives: the balancer asks once a second
+/// and turns away after two answers.
+const LEAVE_TIME: Duration = Duration::from_millis(2_800);
+/// Time before SIGKILL by which the gateway ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
+/// Time for which a connection of a caller may be idle, as long as the configuration is not known.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+/// Descriptors kept for backend servers, the store and files.
+const OWN_DESCRIPTORS: u32 = 1_200;
+
+/// A running gateway.
+pub struct GatewayDaemon {
+    shared: Arc<GatewayShared>,
+    address: SocketAddr,
+    server: JoinHandle<()>,
+    server_stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+fn limits(settings: &GatewaySettings) -> ServerLimits {
+    let half = settings.descriptors / 2;
+    let connections = settings
+        .descriptors
+        .saturating_sub(OWN_DESCRIPTORS)
+        .max(half);
+    ServerLimits {
+        connections: connections as usize,
+        header_time: IDLE_TIME,
+    }
+}
+
+fn serve_on<F, R>(
+    shared: &Arc<GatewayShared>,
+    address: SocketAddr,
+    handler: F,
+) -> Result<(SocketAddr, JoinHandle<()>, watch::Sender<bool>), GatewayError>
+where
+    F: Fn(Arc<GatewayShared>, Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Response<ReplyBody>> + Send + 'static,
+{
+    let listener = listen(address).context(ListenSnafu { address })?;
+    let address = listener.local_addr().context(ListenSnafu { address })?;
+    let (stop, stopped) = watch::channel(false);
+    let limits = limits(&shared.settings);
+    let shared = shared.clone();
+    let handle = move |request| handler(shared.clone(), request);
+    let server = tokio::spawn(serve(listener, limits, stopped, handle));
+    Ok((address, server, stop))
+}
+
+impl GatewayDaemon {
+    /// Takes its addresses and starts to serve.
+    pub async fn start(settings: GatewaySettings, log: LogSink) -> Result<Self, GatewayError> {
+        let (listen, readiness, metrics) = (settings.listen, settings.readiness, settings.metrics);
+        let shared = Arc::new(GatewayShared::new(settings, log));
+        let (_, ready_server, ready_stop) = serve_on(&shared, readiness, answer_readiness)?;
+        let (_, metric_server, metric_stop) = serve_on(&shared, metrics, answer_metrics)?;
+        let (address, server, server_stop) = serve_on(&shared, listen, serve_request)?;
+        // Their stop signals live as long as the tasks that hold them.
+        let keep_alive = tokio::spawn(async move {
+            let _stops = (ready_stop, metric_stop);
+            std::future::pending::<()>().await;
+        });
+        let tasks = vec![
+            ready_server,
+            metric_server,
+            keep_alive,
+            tokio::spawn(follow_config(shared.clone())),
+            tokio::spawn(follow_backends(shared.clone())),
+            tokio::spawn(expire_backends(shared.clone())),
+            tokio::spawn(follow_members(shared.clone())),
+        ];
+        let record = DecisionRecord::new(DecisionKind::Process, "started").chosen(address);
+        shared.log.decide(record);
+        Ok(Self {
+            shared,
+            address,
+            server,
+            server_stop,
+            tasks,
+        })
+    }
+
+    /// Address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Says that it is not ready, takes what still arrives, finishes what runs, then ends.
+    pub async fn stop(self) {
+        let record = DecisionRecord::new(DecisionKind::Process, "stopping");
+        self.shared.log.decide(record);
+        self.shared.phase.send_replace(LifePhase::Leaving);
+        let grace = self.shared.settings.grace();
+        let leave = LEAVE_TIME.min(grace / 2);
+        sleep(leave).await;
+        self.shared.phase.send_replace(LifePhase::Closing);
+        self.server_stop.send_replace(true);
+        let rest = grace.saturating_sub(leave + GRACE_MARGIN);
+        let finished = timeout(rest, self.server).await.is_ok();
+        for task in &self.tasks {
+            task.abort();
+        }
+        let record = DecisionRecord::new(DecisionKind::Process, "stopped");
+        self.shared
+            .log
+            .decide(record.input("all_answered", finished));
+        self.shared.log.finish();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,225 @@
+//! Follows the configuration and the list of backend servers in the store.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use platform::{
+    BACKEND_PREFIX,
+    CONFIG_KEY,
+    KeyChange,
+    KeyItem,
+    PlatformError,
+    read_backend,
+    read_document, //
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::shared::GatewayShared;
+
+/// Wait of one watch; also bounds how long a watch that fell silent goes unnoticed.
+const WATCH_TIME: Duration = Duration::from_millis(1_000);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time after a disturbance of the store for which removed entries may come back.
+const DOUBT_TIME: Duration = Duration::from_millis(2_500);
+/// Pause between looks for entries that did not come back.
+const EXPIRE_PAUSE: Duration = Duration::from_millis(200);
+
+/// One part of the store that is kept up to date.
+struct FollowTask {
+    prefix: &'static str,
+    /// Takes all items under the prefix.
+    take_all: fn(&GatewayShared, Vec<KeyItem>),
+    /// Takes one change.
+    take_change: fn(&GatewayShared, KeyChange),
+}
+
+/// Keeps the configuration up to date, until aborted.
+pub(crate) async fn follow_config(shared: Arc<GatewayShared>) {
+    let task = FollowTask {
+        prefix: CONFIG_KEY,
+        take_all: |shared, items| items.iter().for_each(|item| take_config(shared, item)),
+        take_change: |shared, change| {
+            if let KeyChange::Written(item) = change {
+                take_config(shared, &item);
+            }
+        },
+    };
+    follow(&shared, &task).await;
+}
+
+/// Keeps the list of backend servers up to date, until aborted.
+pub(crate) async fn follow_backends(shared: Arc<GatewayShared>) {
+    let task = FollowTask {
+        prefix: BACKEND_PREFIX,
+        take_all: take_backends,
+        take_change: take_backend,
+    };
+    follow(&shared, &task).await;
+}
+
+async fn follow(shared: &GatewayShared, task: &FollowTask) {
+    let mut revision = None;
+    loop {
+        let step = match revision {
+            None => counted(shared, read_all(shared, task)).await,
+            Some(after) => counted(shared, read_changes(shared, task, after)).await,
+        };
+        match step {
+            Ok(next) => revision = Some(next),
+            Err(PlatformError::HistoryGone) => revision = None,
+            Err(_) => sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn read_all(shared: &GatewayShared, task: &FollowTask) -> Result<u64, PlatformError> {
+    let page = shared.store.range(task.prefix).await?;
+    (task.take_all)(shared, page.items);
+    Ok(page.revision)
+}
+
+async fn read_changes(
+    shared: &GatewayShared,
+    task: &FollowTask,
+    after: u64,
+) -> Result<u64, PlatformError> {
+    let updates = shared.store.watch(task.prefix, after, WATCH_TIME).await?;
+    for change in updates.changes {
+        (task.take_change)(shared, change);
+    }
+    Ok(updates.revision.max(after))
+}
+
+/// Makes a call of the store and notes whether the store answers.
+pub(crate) async fn counted<T>(
+    shared: &GatewayShared,
+    call: impl Future<Output = Result<T, PlatformError>>,
+) -> Result<T, PlatformError> {
+    let result = call.await;
+    let disturbed = match &result {
+        Ok(_) | Err(PlatformError::HistoryGone) => false,
+        Err(_) => true,
+    };
+    let name = if disturbed { "failed" } else { "answered" };
+    shared.metrics.store_calls.with_label_values(&[name]).inc();
+    if disturbed {
+        let now = Instant::now();
+        let before = shared.lock().store_disturbed.replace(now);
+        let is_new = before.is_none_or(|at| now > at + DOUBT_TIME);
+        if let (true, Err(error)) = (is_new, &result) {
+            let record = DecisionRecord::new(DecisionKind::Dependency, "store does not answer");
+            let record = record.input("error", error.to_string()).failure();
+            shared.log.decide(record);
+        }
+    }
+    result
+}
+
+fn take_config(shared: &GatewayShared, item: &KeyItem) {
+    if item.key != CONFIG_KEY {
+        return;
+    }
+    let table = match read_document(&item.value) {
+        Ok(table) => table,
+        Err(error) => {
+            let record = DecisionRecord::new(DecisionKind::Config, error.to_string());
+            shared
+                .log
+                .decide(record.input("revision", item.revision).failure());
+            return;
+        }
+    };
+    let version = table.version;
+    let mut state = shared.lock();
+    let before = state.table.as_ref().map(|table| table.version);
+    if before.is_some_and(|before| version <= before) {
+        return;
+    }
+    let routes = table.len();
+    state.table = Some(Arc::new(table));
+    drop(state);
+    shared.metrics.config_version.set(version.0 as i64);
+    let record = DecisionRecord::new(DecisionKind::Config, "in force")
+        .chosen(version)
+        .input("before", before.map(|version| version.0))
+        .input("revision", item.revision)
+        .input("routes", routes);
+    shared.log.decide(record);
+}
+
+fn in_doubt(shared: &GatewayShared, now: Instant) -> bool {
+    let disturbed = shared.lock().store_disturbed;
+    disturbed.is_some_and(|at| now < at + DOUBT_TIME)
+}
+
+fn take_backends(shared: &GatewayShared, items: Vec<KeyItem>) {
+    let now = Instant::now();
+    let doubt = in_doubt(shared, now);
+    let read = items.iter().filter_map(|item| read_or_log(shared, item));
+    let records = read.collect();
+    let changes = shared.lock().fleet.replace(now, records, doubt);
+    for (instance, change) in changes {
+        log_change(shared, &instance.to_string(), change.as_str());
+    }
+}
+
+fn read_or_log(shared: &GatewayShared, item: &KeyItem) -> Option<policy::BackendRecord> {
+    match read_backend(&item.key, &item.value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            let record = DecisionRecord::new(DecisionKind::Backend, error.to_string());
+            let record = record.input("revision", item.revision);
+            shared.log.decide(record.input("key", item.key.as_str()));
+            None
+        }
+    }
+}
+
+fn take_backend(shared: &GatewayShared, change: KeyChange) {
+    let now = Instant::now();
+    let (key, found) = match change {
+        KeyChange::Written(item) => {
+            let Some(record) = read_or_log(shared, &item) else {
+                return;
+            };
+            (item.key, shared.lock().fleet.upsert(record))
+        }
+        KeyChange::Removed(key) => {
+            let doubt = in_doubt(shared, now);
+            let name = key.strip_prefix(BACKEND_PREFIX).unwrap_or(&key);
+            let Ok(instance) = name.parse() else { return };
+            let change = shared.lock().fleet.remove(now, &instance, doubt);
+            (key, change)
+        }
+    };
+    if let Some(change) = found {
+        log_change(shared, &key, change.as_str());
+    }
+}
+
+fn log_change(shared: &GatewayShared, name: &str, change: &str) {
+    let record = DecisionRecord::new(DecisionKind::Backend, change);
+    shared.log.decide(record.chosen(name));
+}
+
+/// Drops backend servers whose entries did not come back, and closes idle connections.
+pub(crate) async fn expire_backends(shared: Arc<GatewayShared>) {
+    loop {
+        sleep(EXPIRE_PAUSE).await;
+        let now = Instant::now();
+        let dropped = shared.lock().fleet.expire(now);
+        for instance in dropped {
+            log_change(&shared, &instance.to_string(), "entry_did_not_return");
+        }
+        shared.pool().sweep(now);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/generation.rs
@@ -0,0 +1,287 @@
+//! Requests to model engines: which stage reads the prompt, and which engine generates.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyper::Response;
+use logs::DecisionKind;
+use policy::{
+    OpenWork,
+    Placement,
+    PlacementNeed,
+    place_decode,
+    place_prefill, //
+};
+use tokio::time::Instant;
+use units::DataCentre;
+use web::ReplyBody;
+
+use crate::call::{
+    CallContext,
+    SendCount, //
+};
+use crate::handle::HandleGuard;
+use crate::metrics::GatewayMetrics;
+use crate::open_work::OpenGuard;
+use crate::outcome::{
+    OpenAnswer,
+    SendTrouble, //
+};
+use crate::plain::{
+    log_repeat,
+    may_repeat, //
+};
+use crate::pump::start_pump;
+use crate::reply::OwnAnswer;
+use crate::send::{
+    open_send,
+    read_whole, //
+};
+
+/// Prompt tokens to read up to which a decode engine reads the prompt itself.
+const INLINE_TOKENS: u32 = 1_000;
+/// Sends of one request that engines may refuse before it is given up.
+const REFUSAL_LIMIT: u32 = 3;
+/// Reads of a prompt apart before a decode engine reads it itself.
+const READ_LIMIT: u32 = 2;
+
+/// A chosen engine with its address.
+pub(crate) struct ChosenEngine {
+    pub(crate) placement: Placement,
+    pub(crate) address: SocketAddr,
+    pub(crate) centre: DataCentre,
+}
+
+/// A stream that has begun, with what it holds at its engine.
+pub(crate) struct OpenRun {
+    pub(crate) answer: OpenAnswer,
+    pub(crate) open: OpenGuard,
+    pub(crate) engine: ChosenEngine,
+}
+
+/// Serves a request whose answer is a stream.
+pub(crate) async fn serve_generation(
+    call: Arc<CallContext>,
+) -> Result<Response<ReplyBody>, OwnAnswer> {
+    let mut sent = SendCount::default();
+    let run = open_run(&call, &mut sent, None).await?;
+    let taken = call.started.elapsed();
+    GatewayMetrics::observe(&call.shared.metrics.first_event, taken);
+    Ok(start_pump(call, run, sent))
+}
+
+/// Has the prompt read where that is soonest and opens the stream, with further tries as far as
+/// they are allowed.
+pub(crate) async fn open_run(
+    call: &Arc<CallContext>,
+    sent: &mut SendCount,
+    resume_after: Option<u64>,
+) -> Result<OpenRun, OwnAnswer> {
+    loop {
+        let handle = read_apart(call, sent).await;
+        let Some(engine) = choose_decode(call, sent, handle.as_ref()) else {
+            return Err(give_up(sent, "no_engine"));
+        };
+        if !sent.is_first() && !call.shared.spend_repeat(&call.service) {
+            return Err(give_up(sent, "repeats_spent"));
+        }
+        let instance = engine.placement.instance.clone();
+        match send_decode(call, engine, handle, resume_after).await {
+            Ok(run) => {
+                sent.runs += 1;
+                sent.avoid.insert(instance);
+                return Ok(run);
+            }
+            Err(SendTrouble::NotRun(reason)) => {
+                sent.refused += 1;
+                sent.avoid.insert(instance.clone());
+                if sent.refused >= REFUSAL_LIMIT {
+                    return Err(give_up(sent, reason));
+                }
+                log_repeat(call, &instance, reason);
+            }
+            Err(SendTrouble::Unknown(reason)) => {
+                sent.runs += 1;
+                sent.avoid.insert(instance.clone());
+                if !may_repeat(call, sent, reason) {
+                    return Err(OwnAnswer::Unknown(reason));
+                }
+                log_repeat(call, &instance, reason);
+            }
+            Err(SendTrouble::OutOfTime) => return Err(OwnAnswer::OutOfTime),
+        }
+    }
+}
+
+fn give_up(sent: &SendCount, reason: &'static str) -> OwnAnswer {
+    if sent.runs > 0 {
+        return OwnAnswer::Unknown(reason);
+    }
+    OwnAnswer::Unavailable(reason)
+}
+
+/// Has a prefill engine read the prompt, where that pays.
+async fn read_apart(call: &Arc<CallContext>, sent: &mut SendCount) -> Option<HandleGuard> {
+    while sent.reads < READ_LIMIT {
+        let engine = choose_prefill(call, sent)?;
+        if sent.reads > 0 && !call.shared.spend_repeat(&call.service) {
+            return None;
+        }
+        sent.reads += 1;
+        let instance = engine.placement.instance.clone();
+        match send_prefill(call, engine).await {
+            Ok(handle) => return Some(handle),
+            Err(trouble) => {
+                sent.avoid.insert(instance.clone());
+                log_repeat(call, &instance, trouble.as_str());
+            }
+        }
+    }
+    None
+}
+
+fn need<'a>(call: &'a CallContext, sent: &'a SendCount) -> PlacementNeed<'a> {
+    PlacementNeed {
+        service: &call.service,
+        centre: &call.shared.settings.data_centre,
+        avoid: &sent.avoid,
+    }
+}
+
+/// The prefill engine for a prompt, unless a decode engine had better read it itself.
+fn choose_prefill(call: &CallContext, sent: &SendCount) -> Option<ChosenEngine> {
+    let now = Instant::now();
+    let mut state = call.shared.lock();
+    let speed = state.speed(&call.service);
+    let chain = &call.facts.chain;
+    let need = need(call, sent);
+    let inline = place_decode(&state.fleet, now, need, chain, speed, None);
+    if inline.is_some_and(|place| place.uncached <= INLINE_TOKENS) {
+        return None;
+    }
+    let placement = place_prefill(&state.fleet, now, need, chain, speed)?;
+    let view = state.fleet.get_mut(&placement.instance)?;
+    view.note_read(chain, speed.memory_tokens);
+    let (address, centre) = (view.record.address, view.record.centre.clone());
+    drop(state);
+    log_choice(call, &placement, "prompt is read soonest there");
+    Some(ChosenEngine {
+        placement,
+        address,
+        centre,
+    })
+}
+
+fn choose_decode(
+    call: &CallContext,
+    sent: &SendCount,
+    handle: Option<&HandleGuard>,
+) -> Option<ChosenEngine> {
+    let now = Instant::now();
+    let mut state = call.shared.lock();
+    let speed = state.speed(&call.service);
+    let chain = &call.facts.chain;
+    let source = handle.map(|handle| &handle.centre);
+    let placement = place_decode(&state.fleet, now, need(call, sent), chain, speed, source)?;
+    let view = state.fleet.get_mut(&placement.instance)?;
+    view.note_read(chain, speed.memory_tokens);
+    let (address, centre) = (view.record.address, view.record.centre.clone());
+    drop(state);
+    log_choice(call, &placement, "stream is slowed least there");
+    Some(ChosenEngine {
+        placement,
+        address,
+        centre,
+    })
+}
+
+fn log_choice(call: &CallContext, placement: &Placement, reason: &str) {
+    let shown = placement.considered.iter();
+    let shown = shown.map(|(instance, score)| format!("{instance}:{score}"));
+    let record = call
+        .record(DecisionKind::Route, reason)
+        .chosen(&placement.instance)
+        .considered(shown.collect())
+        .input("config", call.version.0)
+        .input("uncached_tokens", placement.uncached)
+        .input("wait_ms", placement.wait.as_millis() as u64);
+    call.shared.log.decide(record);
+}
+
+async fn send_prefill(
+    call: &Arc<CallContext>,
+    engine: ChosenEngine,
+) -> Result<HandleGuard, SendTrouble> {
+    let instance = &engine.placement.instance;
+    let work = OpenWork {
+        requests: 1,
+        prompt_tokens: engine.placement.uncached.into(),
+        memory_tokens: 0,
+    };
+    let ahead = call
+        .shared
+        .lock()
+        .fleet
+        .get(instance)
+        .map_or(0, |view| view.total().prompt_tokens);
+    let open = OpenGuard::new(&call.shared, instance, work);
+    let mut facts = call.send_facts(instance);
+    facts.prefill_only = true;
+    let began = Instant::now();
+    let answer = open_send(call, engine.address, &facts).await?;
+    let answer = read_whole(call, answer).await?;
+    drop(open);
+    let taken = began.elapsed();
+    GatewayMetrics::observe(&call.shared.metrics.prefill, taken);
+    let reply = match platform::read_prefill(answer.response.body()) {
+        Ok(reply) if answer.response.status().is_success() => reply,
+        _ => return Err(SendTrouble::Unknown("prefill_failed")),
+    };
+    let mut state = call.shared.lock();
+    let sight = state.speeds.entry(call.service.clone()).or_default();
+    let tokens = u32::try_from(ahead).unwrap_or(u32::MAX);
+    sight
+        .prefill
+        .note(tokens.saturating_add(engine.placement.uncached), taken);
+    drop(state);
+    Ok(HandleGuard {
+        shared: call.shared.clone(),
+        address: engine.address,
+        centre: engine.centre,
+        handle: reply.handle,
+        taken: false,
+    })
+}
+
+async fn send_decode(
+    call: &Arc<CallContext>,
+    engine: ChosenEngine,
+    mut handle: Option<HandleGuard>,
+    resume_after: Option<u64>,
+) -> Result<OpenRun, SendTrouble> {
+    let instance = &engine.placement.instance;
+    let output = call.facts.output_guess.unwrap_or(call.facts.output_limit).0;
+    let work = OpenWork {
+        requests: 1,
+        prompt_tokens: engine.placement.uncached.into(),
+        memory_tokens: u64::from(call.facts.chain.tokens()) + u64::from(output),
+    };
+    let open = OpenGuard::new(&call.shared, instance, work);
+    let mut facts = call.send_facts(instance);
+    facts.resume_after = resume_after;
+    if let Some(handle) = &mut handle {
+        handle.taken = true;
+        facts.source = Some((handle.address, handle.handle.clone()));
+    }
+    let answer = open_send(call, engine.address, &facts).await;
+    if matches!(answer, Err(SendTrouble::NotRun(_)))
+        && let Some(handle) = &mut handle
+    {
+        handle.taken = false;
+    }
+    Ok(OpenRun {
+        answer: answer?,
+        open,
+        engine,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,45 @@
+//! A KV cache that waits at the engine which read the prompt.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use units::DataCentre;
+
+use crate::shared::GatewayShared;
+
+/// Time for freeing a KV cache; it lapses by itself soon after.
+const DROP_TIME: Duration = Duration::from_millis(500);
+
+/// A KV cache that is freed unless another engine takes it.
+pub(crate) struct HandleGuard {
+    pub(crate) shared: Arc<GatewayShared>,
+    pub(crate) address: SocketAddr,
+    pub(crate) centre: DataCentre,
+    pub(crate) handle: String,
+    /// Whether an engine has been told to take it.
+    pub(crate) taken: bool,
+}
+
+impl Drop for HandleGuard {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let shared = self.shared.clone();
+        let (address, handle) = (self.address, std::mem::take(&mut self.handle));
+        tokio::spawn(async move {
+            if let Err(error) = platform::drop_handle(address, &handle, DROP_TIME).await {
+                let record = DecisionRecord::new(DecisionKind::Send, "KV cache not freed");
+                let record = record.input("error", error.to_string());
+                shared
+                    .log
+                    .decide(record.input("address", address.to_string()));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! The gateway daemon: an entry that forwards requests straight to backend servers and answers each
+//! of them whole, once, or with a refusal that is true.
+
+mod call;
+mod daemon;
+mod error;
+mod follow;
+mod generation;
+mod handle;
+mod members;
+mod metrics;
+mod open_work;
+mod outcome;
+mod plain;
+mod pump;
+mod readiness;
+mod reply;
+mod send;
+mod serve;
+mod shared;
+
+pub use daemon::GatewayDaemon;
+pub use error::GatewayError;
--- /dev/null
+++ b/crates/gateway/src/open_work.rs
@@ -0,0 +1,51 @@
+//! Counts work at a backend server for as long as it is held.
+
+use std::sync::Arc;
+
+use policy::OpenWork;
+use units::InstanceId;
+
+use crate::shared::GatewayShared;
+
+/// Work that counts at a backend server until it is dropped.
+pub(crate) struct OpenGuard {
+    shared: Arc<GatewayShared>,
+    instance: InstanceId,
+    work: OpenWork,
+}
+
+impl OpenGuard {
+    /// Counts work at a backend server.
+    pub(crate) fn new(shared: &Arc<GatewayShared>, instance: &InstanceId, work: OpenWork) -> Self {
+        if let Some(view) = shared.lock().fleet.get_mut(instance) {
+            view.open.add(work);
+        }
+        Self {
+            shared: shared.clone(),
+            instance: instance.clone(),
+            work,
+        }
+    }
+
+    /// Counts the prompt as read.
+    pub(crate) fn prompt_read(&mut self) {
+        let read = OpenWork {
+            prompt_tokens: self.work.prompt_tokens,
+            ..OpenWork::default()
+        };
+        self.work.prompt_tokens = 0;
+        self.take(read);
+    }
+
+    fn take(&self, work: OpenWork) {
+        if let Some(view) = self.shared.lock().fleet.get_mut(&self.instance) {
+            view.open.subtract(work);
+        }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.take(self.work);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pump.rs
@@ -0,0 +1,206 @@
+//! Passes the events of a stream on, over the runs that produce it.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use logs::DecisionKind;
+use platform::strip_hop_headers;
+use policy::{
+    EventCursor,
+    SendOutcome, //
+};
+use tokio::sync::mpsc::Sender;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
+use units::InstanceId;
+use web::{
+    BrokenReply,
+    ReplyBody,
+    ReplyPart,
+    breakable_body, //
+};
+
+use crate::call::{
+    CallContext,
+    SendCount, //
+};
+use crate::generation::{
+    OpenRun,
+    open_run, //
+};
+use crate::plain::{
+    log_repeat, //
+};
+use crate::send::keep_channel;
+
+/// Parts that wait for a slow caller.
+const PART_DEPTH: usize = 8;
+
+/// How one run of a stream ended.
+enum RunEnd {
+    Whole,
+    Broken(&'static str),
+    CallerGone,
+    OutOfTime,
+}
+
+/// Passes the head of a stream on and its events as they come.
+pub(crate) fn start_pump(
+    call: Arc<CallContext>,
+    run: OpenRun,
+    sent: SendCount,
+) -> Response<ReplyBody> {
+    let OpenRun {
+        answer,
+        open,
+        engine,
+    } = run;
+    let (mut head, body) = answer.response.into_parts();
+    strip_hop_headers(&mut head.headers);
+    if !head.status.is_success() || !answer.facts.is_signed {
+        let reply = Response::from_parts(head, ());
+        return pass_failure(&call, reply, body);
+    }
+    let (parts, reply_body) = breakable_body(PART_DEPTH);
+    let rebuilt = OpenRun {
+        answer: crate::outcome::OpenAnswer {
+            response: Response::new(body),
+            facts: answer.facts,
+            channel: answer.channel,
+        },
+        open,
+        engine,
+    };
+    tokio::spawn(pump_stream(call, rebuilt, sent, parts));
+    Response::from_parts(head, reply_body)
+}
+
+/// Passes an error answer of an engine on.
+fn pass_failure(
+    call: &Arc<CallContext>,
+    reply: Response<()>,
+    body: Incoming,
+) -> Response<ReplyBody> {
+    let (head, ()) = reply.into_parts();
+    let record = call.record(DecisionKind::Finish, "engine answered with an error");
+    let record = record.input("status", head.status.as_u16()).failure();
+    call.shared.log.decide(record);
+    if head.status.is_success() {
+        return crate::reply::OwnAnswer::Unknown("answer_unsigned").response();
+    }
+    Response::from_parts(head, body.map_err(|_| BrokenReply).boxed_unsync())
+}
+
+async fn pump_stream(
+    call: Arc<CallContext>,
+    first: OpenRun,
+    mut sent: SendCount,
+    parts: Sender<ReplyPart>,
+) {
+    let mut cursor = EventCursor::after(call.facts.last_event);
+    let mut run = first;
+    loop {
+        let instance = run.engine.placement.instance.clone();
+        let reason = match pass_events(&call, run, &mut cursor, &parts).await {
+            RunEnd::Whole => return log_end(&call, "stream is whole", false),
+            RunEnd::CallerGone => return log_end(&call, "caller has left", false),
+            RunEnd::OutOfTime => {
+                log_end(&call, "out of time", true);
+                break;
+            }
+            RunEnd::Broken(reason) => reason,
+        };
+        note_broken(&call, &instance);
+        if !may_repeat_stream(&call, &sent) {
+            log_end(&call, reason, true);
+            break;
+        }
+        log_repeat(&call, &instance, reason);
+        cursor.start_run();
+        match open_run(&call, &mut sent, cursor.last()).await {
+            Ok(next) if next.answer.response.status().is_success() => run = next,
+            _ => {
+                log_end(&call, "cannot be resumed", true);
+                break;
+            }
+        }
+    }
+    // The caller may have left meanwhile.
+    let _ = parts.send(Err(BrokenReply)).await;
+}
+
+fn note_broken(call: &CallContext, instance: &InstanceId) {
+    let mut state = call.shared.lock();
+    state
+        .fleet
+        .note(Instant::now(), instance, SendOutcome::Broken);
+}
+
+fn may_repeat_stream(call: &CallContext, sent: &SendCount) -> bool {
+    call.rule.kind.is_repeatable() && sent.runs < call.rule.max_attempts
+}
+
+fn log_end(call: &CallContext, reason: &str, failed: bool) {
+    let taken = call.started.elapsed().as_millis() as u64;
+    let record = call.record(DecisionKind::Finish, reason);
+    let record = record.input("taken_ms", taken);
+    let name = if failed { "stream_broken" } else { "stream" };
+    call.shared
+        .metrics
+        .outcomes
+        .with_label_values(&[name])
+        .inc();
+    call.shared
+        .log
+        .decide(if failed { record.failure() } else { record });
+}
+
+async fn pass_events(
+    call: &CallContext,
+    run: OpenRun,
+    cursor: &mut EventCursor,
+    parts: &Sender<ReplyPart>,
+) -> RunEnd {
+    let OpenRun {
+        answer, mut open, ..
+    } = run;
+    let (_, mut body) = answer.response.into_parts();
+    let mut started = false;
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = parts.closed() => return RunEnd::CallerGone,
+            () = sleep_until(call.deadline) => return RunEnd::OutOfTime,
+        };
+        let data = match frame {
+            None if cursor.is_mid_event() => return RunEnd::Broken("ended_mid_event"),
+            None => {
+                keep_channel(&call.shared, answer.channel, &answer.facts);
+                return RunEnd::Whole;
+            }
+            Some(Err(_)) => return RunEnd::Broken("stream_cut"),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        if !started {
+            started = true;
+            open.prompt_read();
+        }
+        let Ok(events) = cursor.push(&data) else {
+            return RunEnd::Broken("events_out_of_order");
+        };
+        if events.is_empty() {
+            continue;
+        }
+        let passed = tokio::select! {
+            passed = parts.send(Ok(events)) => passed.is_ok(),
+            () = sleep_until(call.deadline) => return RunEnd::OutOfTime,
+        };
+        if !passed {
+            return RunEnd::CallerGone;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/readiness.rs
@@ -0,0 +1,48 @@
+//! Answers the platform's balancer and shows metrics.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use web::{
+    ReplyBody,
+    bytes_body,
+    json_reply, //
+};
+
+use crate::shared::GatewayShared;
+
+/// Answers whether the gateway takes new connections.
+pub(crate) async fn answer_readiness(
+    shared: Arc<GatewayShared>,
+    _request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let (reason, status) = readiness(&shared);
+    json_reply(status, format!("{{\"state\":\"{reason}\"}}"))
+}
+
+fn readiness(shared: &GatewayShared) -> (&'static str, StatusCode) {
+    if shared.is_leaving() {
+        return ("leaving", StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let state = shared.lock();
+    if state.table.is_none() {
+        return ("not_configured", StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if state.fleet.views().next().is_none() {
+        return ("no_backend", StatusCode::SERVICE_UNAVAILABLE);
+    }
+    ("ready", StatusCode::OK)
+}
+
+/// Shows all metrics.
+pub(crate) async fn answer_metrics(
+    shared: Arc<GatewayShared>,
+    _request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    Response::new(bytes_body(shared.metrics.to_text()))
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,212 @@
+//! Sends a request to one backend server and judges what comes back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::header::HOST;
+use hyper::{
+    Request,
+    Response, //
+};
+use logs::DecisionKind;
+use platform::{
+    ReplyFacts,
+    SendFacts, //
+};
+use policy::SendOutcome;
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+use units::InstanceId;
+use web::{
+    OpenChannel,
+    SendFailure, //
+};
+
+use crate::call::CallContext;
+use crate::outcome::{
+    OpenAnswer,
+    SendTrouble,
+    WholeAnswer, //
+};
+
+/// Time for a connection to come about.
+const CONNECT_TIME: Duration = Duration::from_millis(600);
+/// Time for which an idle connection is kept when the backend server does not say how long.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// Time before the end that the backend server states at which an idle connection is left alone.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Largest answer that is taken whole.
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Sends a request and waits for the head of its answer.
+pub(crate) async fn open_send(
+    call: &CallContext,
+    address: SocketAddr,
+    facts: &SendFacts,
+) -> Result<OpenAnswer, SendTrouble> {
+    let result = timeout_at(call.deadline, open_untimed(call, address, facts)).await;
+    let result = result.unwrap_or(Err(SendTrouble::OutOfTime));
+    note_send(call, &facts.instance, &result);
+    result
+}
+
+fn note_send(call: &CallContext, instance: &InstanceId, result: &Result<OpenAnswer, SendTrouble>) {
+    let (name, outcome) = match result {
+        Ok(answer) if answer.response.status().is_server_error() => {
+            ("error_status", Some(SendOutcome::Error))
+        }
+        Ok(_) => ("answered", Some(SendOutcome::Served)),
+        Err(SendTrouble::NotRun(reason @ "connect_failed")) => (*reason, Some(SendOutcome::Broken)),
+        Err(SendTrouble::NotRun(reason)) => (*reason, Some(SendOutcome::Refused)),
+        Err(SendTrouble::Unknown(reason)) => (*reason, Some(SendOutcome::Broken)),
+        Err(SendTrouble::OutOfTime) => ("out_of_time", None),
+    };
+    call.shared.metrics.sends.with_label_values(&[name]).inc();
+    let Some(outcome) = outcome else { return };
+    let paused = call
+        .shared
+        .lock()
+        .fleet
+        .note(Instant::now(), instance, outcome);
+    if paused {
+        let record = call.record(DecisionKind::Backend, "paused after failures in a row");
+        let record = record.chosen(instance).input("last", name).failure();
+        call.shared.log.decide(record);
+    }
+}
+
+async fn open_untimed(
+    call: &CallContext,
+    address: SocketAddr,
+    facts: &SendFacts,
+) -> Result<OpenAnswer, SendTrouble> {
+    loop {
+        let kept = call.shared.pool().take(Instant::now(), address);
+        let mut channel = match kept {
+            Some(channel) => channel,
+            None => {
+                call.shared.metrics.channels.inc();
+                let opened = OpenChannel::connect(address, CONNECT_TIME).await;
+                opened.map_err(|_| SendTrouble::NotRun("connect_failed"))?
+            }
+        };
+        let request = build_request(call, address, facts)?;
+        match channel.send(request).await {
+            Ok(response) => return judge_head(call, response, channel),
+            // A kept connection that had gone away says nothing of the backend server.
+            Err(SendFailure::Unsent(_)) if channel.is_reused => {}
+            Err(SendFailure::Unsent(_)) => return Err(SendTrouble::NotRun("connect_failed")),
+            Err(SendFailure::Broken(_)) => return Err(SendTrouble::Unknown("connection_broke")),
+        }
+    }
+}
+
+fn build_request(
+    call: &CallContext,
+    address: SocketAddr,
+    facts: &SendFacts,
+) -> Result<Request<Full<Bytes>>, SendTrouble> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let mut headers = facts.headers(&call.headers);
+    if !headers.contains_key(HOST)
+        && let Ok(host) = address.to_string().parse()
+    {
+        headers.insert(HOST, host);
+    }
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+fn judge_head(
+    call: &CallContext,
+    response: Response<hyper::body::Incoming>,
+    channel: OpenChannel,
+) -> Result<OpenAnswer, SendTrouble> {
+    let (head, body) = response.into_parts();
+    let facts = ReplyFacts::read(&head);
+    let status = head.status;
+    // An answer to another request leaves it open whether this one has run.
+    if !facts.id.is_empty() && facts.id != call.facts.id {
+        return Err(SendTrouble::Unknown("answer_to_another"));
+    }
+    if facts.not_run {
+        let answer = OpenAnswer {
+            response: Response::from_parts(head, body),
+            facts,
+            channel,
+        };
+        keep_after_refusal(call, answer);
+        return Err(SendTrouble::NotRun(match status.as_u16() {
+            421 => "other_instance",
+            429 => "too_many",
+            _ => "backend_refused",
+        }));
+    }
+    if facts.is_encoded || status.is_informational() {
+        return Err(SendTrouble::Unknown("foreign_answer"));
+    }
+    Ok(OpenAnswer {
+        response: Response::from_parts(head, body),
+        facts,
+        channel,
+    })
+}
+
+/// Reads the short body of a refusal aside, so that its connection can be kept.
+fn keep_after_refusal(call: &CallContext, answer: OpenAnswer) {
+    let shared = call.shared.clone();
+    let deadline = call.deadline;
+    tokio::spawn(async move {
+        let (_, body) = answer.response.into_parts();
+        let reading = Limited::new(body, ANSWER_LIMIT_BYTES).collect();
+        if let Ok(Ok(_)) = timeout_at(deadline, reading).await {
+            keep_channel(&shared, answer.channel, &answer.facts);
+        }
+    });
+}
+
+/// Keeps a connection whose answer has been read whole, for as long as its server allows.
+pub(crate) fn keep_channel(
+    shared: &crate::shared::GatewayShared,
+    channel: OpenChannel,
+    facts: &ReplyFacts,
+) {
+    if facts.closes {
+        return;
+    }
+    let idle = facts
+        .idle_time
+        .map_or(IDLE_TIME, |stated| stated.saturating_sub(IDLE_MARGIN));
+    if !idle.is_zero() {
+        shared.pool().give_back(channel, Instant::now() + idle);
+    }
+}
+
+/// Reads an answer whole.
+pub(crate) async fn read_whole(
+    call: &CallContext,
+    answer: OpenAnswer,
+) -> Result<WholeAnswer, SendTrouble> {
+    let (head, body) = answer.response.into_parts();
+    let reading = Limited::new(body, ANSWER_LIMIT_BYTES).collect();
+    let read = match timeout_at(call.deadline, reading).await {
+        Err(_) => return Err(SendTrouble::OutOfTime),
+        Ok(Err(_)) => return Err(SendTrouble::Unknown("answer_cut")),
+        Ok(Ok(read)) => read.to_bytes(),
+    };
+    keep_channel(&call.shared, answer.channel, &answer.facts);
+    Ok(WholeAnswer {
+        response: Response::from_parts(head, read),
+        facts: answer.facts,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,136 @@
+//! Takes a caller's request: its route, its body, its deadline, and then its way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::{
+    Request,
+    Response, //
+};
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use platform::RequestFacts;
+use policy::{
+    RouteRule,
+    RouteTable, //
+};
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+use web::{
+    ReplyBody,
+    WebError,
+    read_body, //
+};
+
+use crate::call::CallContext;
+use crate::generation::serve_generation;
+use crate::plain::serve_plain;
+use crate::reply::{
+    OwnAnswer,
+    mark_leaving, //
+};
+use crate::shared::GatewayShared;
+
+/// Time that an answer of the gateway's own needs to be out by the caller's deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// Answers one request of a caller.
+pub(crate) async fn serve_request(
+    shared: Arc<GatewayShared>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let started = Instant::now();
+    let (head, body) = request.into_parts();
+    let facts = RequestFacts::read(&head.headers);
+    let id = String::from_utf8_lossy(&facts.id).into_owned();
+    let result = take_request(&shared, started, head, facts, body).await;
+    let mut response = result.unwrap_or_else(|answer| {
+        log_own_answer(&shared, &id, answer, started);
+        answer.response()
+    });
+    mark_leaving(&shared, &mut response);
+    response
+}
+
+async fn take_request(
+    shared: &Arc<GatewayShared>,
+    started: Instant,
+    head: Parts,
+    facts: RequestFacts,
+    body: Incoming,
+) -> Result<Response<ReplyBody>, OwnAnswer> {
+    let table = shared.lock().table.clone();
+    let table = table.ok_or(OwnAnswer::NotConfigured)?;
+    let rule = find_rule(&table, &head).ok_or(OwnAnswer::NoRoute)?;
+    let kind = rule.kind.as_str();
+    shared.metrics.requests.with_label_values(&[kind]).inc();
+    let deadline = started + rule.timeout.min(facts.patience.unwrap_or(rule.timeout));
+    let deadline = deadline - ANSWER_MARGIN.min(deadline - started);
+    let body = take_body(body, &table, deadline).await?;
+    let service = rule.choose_service(&facts.id).clone();
+    shared.earn_repeat(&service);
+    let call = Arc::new(CallContext {
+        shared: shared.clone(),
+        service,
+        version: table.version,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        facts,
+        started,
+        deadline,
+        rule,
+    });
+    let serving = async {
+        if call.rule.kind.is_stream() {
+            serve_generation(call.clone()).await
+        } else {
+            serve_plain(&call).await
+        }
+    };
+    match timeout_at(deadline, serving).await {
+        Ok(result) => result,
+        Err(_) => Err(OwnAnswer::OutOfTime),
+    }
+}
+
+fn find_rule(table: &RouteTable, head: &Parts) -> Option<Arc<RouteRule>> {
+    let named = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = head.uri.host().or(named).unwrap_or_default();
+    table.find(host, head.uri.path()).cloned()
+}
+
+async fn take_body(
+    body: Incoming,
+    table: &RouteTable,
+    deadline: Instant,
+) -> Result<Bytes, OwnAnswer> {
+    let time = deadline.saturating_duration_since(Instant::now());
+    match read_body(body, table.limits.body_bytes, time).await {
+        Ok(body) => Ok(body),
+        Err(WebError::TooLarge { .. }) => Err(OwnAnswer::TooLarge),
+        Err(WebError::Timeout) => Err(OwnAnswer::OutOfTime),
+        Err(_) => Err(OwnAnswer::BadBody),
+    }
+}
+
+fn log_own_answer(shared: &GatewayShared, id: &str, answer: OwnAnswer, started: Instant) {
+    let name = answer.as_str();
+    shared.metrics.refusals.with_label_values(&[name]).inc();
+    let pause = answer.retry_after().map(|pause| pause.as_millis() as u64);
+    let record = DecisionRecord::new(DecisionKind::Refuse, name)
+        .request(id)
+        .input("retry_after_ms", pause)
+        .input("held_ms", started.elapsed().as_millis() as u64)
+        .failure();
+    shared.log.decide(record);
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,151 @@
+//! What the tasks of one gateway share.
+
+use std::collections::BTreeMap;
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard, //
+};
+use std::time::Duration;
+
+use conf::GatewaySettings;
+use logs::LogSink;
+use platform::KeyStore;
+use policy::{
+    BackendFleet,
+    EngineSpeed,
+    ReadSpeed,
+    RepeatBudget,
+    RepeatTerms,
+    RouteTable, //
+};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use units::ServiceName;
+use web::ChannelPool;
+
+use crate::metrics::GatewayMetrics;
+
+/// Time for one call of the store.
+const STORE_CALL_TIME: Duration = Duration::from_millis(1_200);
+
+/// Where a gateway stands between start and end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LifePhase {
+    /// Takes requests.
+    Serving,
+    /// Says that it is not ready, and still takes what arrives.
+    Leaving,
+    /// Closes connections as soon as they are idle.
+    Closing,
+}
+
+/// What a gateway knows of the engines of one service.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct SpeedSight {
+    pub(crate) prefill: ReadSpeed,
+    pub(crate) inline: ReadSpeed,
+}
+
+/// State that changes.
+#[derive(Debug)]
+pub(crate) struct GatewayState {
+    pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) fleet: BackendFleet,
+    pub(crate) budgets: BTreeMap<ServiceName, RepeatBudget>,
+    pub(crate) speeds: BTreeMap<ServiceName, SpeedSight>,
+    /// Gateways that share the budgets of further sends.
+    pub(crate) entries: usize,
+    /// End of the latest disturbance of the store that this gateway has seen.
+    pub(crate) store_disturbed: Option<Instant>,
+}
+
+/// What the tasks of one gateway share.
+pub(crate) struct GatewayShared {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) log: LogSink,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) store: KeyStore,
+    pub(crate) phase: watch::Sender<LifePhase>,
+    state: Mutex<GatewayState>,
+    pool: Mutex<ChannelPool>,
+}
+
+impl GatewayShared {
+    pub(crate) fn new(settings: GatewaySettings, log: LogSink) -> Self {
+        Self {
+            store: KeyStore::new(settings.store, STORE_CALL_TIME),
+            settings,
+            log,
+            metrics: GatewayMetrics::new(),
+            phase: watch::Sender::new(LifePhase::Serving),
+            state: Mutex::new(GatewayState {
+                table: None,
+                fleet: BackendFleet::default(),
+                budgets: BTreeMap::new(),
+                speeds: BTreeMap::new(),
+                entries: 0,
+                store_disturbed: None,
+            }),
+            pool: Mutex::new(ChannelPool::default()),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, GatewayState> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub(crate) fn pool(&self) -> MutexGuard<'_, ChannelPool> {
+        self.pool.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Whether the gateway is on its way out.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.phase.borrow() != LifePhase::Serving
+    }
+
+    fn terms(&self) -> RepeatTerms {
+        RepeatTerms {
+            ratio: self.settings.repeat_ratio,
+            window: self.settings.repeat_window(),
+            allowance: self.settings.repeat_allowance,
+        }
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn earn_repeat(&self, service: &ServiceName) {
+        let terms = self.terms();
+        let now = Instant::now();
+        let mut state = self.lock();
+        let fresh = || RepeatBudget::new(now, terms);
+        let budget = state.budgets.entry(service.clone()).or_insert_with(fresh);
+        budget.earn(now);
+    }
+
+    /// Takes a further send to a service from the budget.
+    pub(crate) fn spend_repeat(&self, service: &ServiceName) -> bool {
+        let mut state = self.lock();
+        let entries = state.entries;
+        let budget = state.budgets.get_mut(service);
+        let spent = budget.is_some_and(|budget| budget.spend(Instant::now(), entries));
+        if spent {
+            self.metrics.repeats.inc();
+        }
+        spent
+    }
+}
+
+impl GatewayState {
+    /// Speeds of a service's engines, with their memory from the configuration.
+    pub(crate) fn speed(&self, service: &ServiceName) -> EngineSpeed {
+        let sight = self.speeds.get(service).copied().unwrap_or_default();
+        let table = self.table.as_ref();
+        let spec = table.and_then(|table| table.services.get(service));
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        EngineSpeed {
+            prefill: sight.prefill.tokens_per_ms(),
+            inline: sight.inline.tokens_per_ms(),
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+        }
+    }
+}
--- a/crates/host/src/program.rs
+++ b/crates/host/src/program.rs
@@ -12,8 +12,15 @@
     ConfError,
     read_settings, //
 };
-use logs::LogSink;
+use logs::{
+    LogError,
+    LogSink, //
+};
 use serde::de::DeserializeOwned;
+use tokio::runtime::{
+    Builder,
+    Runtime, //
+};
 use tokio::signal::unix::{
     SignalKind,
     signal, //
@@ -30,11 +37,21 @@
 
 /// Where a daemon's log lines go.
 #[derive(Debug, Clone)]
-pub struct LogPlace {
-    /// Instance that the daemon runs on.
-    pub instance: InstanceId,
-    /// File for log lines; standard error when absent.
-    pub file: Option<PathBuf>,
+pub enum LogPlace {
+    /// To standard output, without ever waiting for its reader.
+    Stdout(InstanceId),
+    /// To a file, or to standard error when there is none.
+    File(InstanceId, Option<PathBuf>),
+}
+
+impl LogPlace {
+    fn open(self) -> Result<LogSink, LogError> {
+        match self {
+            Self::Stdout(instance) => LogSink::stdout(instance),
+            Self::File(instance, Some(path)) => LogSink::file(instance, &path),
+            Self::File(instance, None) => LogSink::stderr(instance),
+        }
+    }
 }
 
 /// What a program must know of its daemon's settings.
@@ -49,18 +66,45 @@
 }
 
 impl<S: DeserializeOwned> DaemonProgram<S> {
-    /// Reads the settings, starts the daemon, waits for a signal and stops it.
+    /// Reads the settings, starts the daemon on threads for all cores, waits for a signal and stops
+    /// it.
     pub fn run<D, Starting, Stopping>(
         &self,
         start: impl FnOnce(S, LogSink) -> Starting,
         stop: impl FnOnce(D) -> Stopping,
     ) -> ExitCode
+    where
+        Starting: Future<Output = Result<D, DaemonError>>,
+        Stopping: Future<Output = ()>,
+    {
+        self.run_on(&mut Builder::new_multi_thread(), start, stop)
+    }
+
+    /// As `run`, on one thread.
+    pub fn run_single<D, Starting, Stopping>(
+        &self,
+        start: impl FnOnce(S, LogSink) -> Starting,
+        stop: impl FnOnce(D) -> Stopping,
+    ) -> ExitCode
+    where
+        Starting: Future<Output = Result<D, DaemonError>>,
+        Stopping: Future<Output = ()>,
+    {
+        self.run_on(&mut Builder::new_current_thread(), start, stop)
+    }
+
+    fn run_on<D, Starting, Stopping>(
+        &self,
+        runtime: &mut Builder,
+        start: impl FnOnce(S, LogSink) -> Starting,
+        stop: impl FnOnce(D) -> Stopping,
+    ) -> ExitCode
     where
         Starting: Future<Output = Result<D, DaemonError>>,
         Stopping: Future<Output = ()>,
     {
         let args: DaemonArgs = argh::from_env();
-        let settings = match self.load(&args.settings) {
+        let settings = match args.path().and_then(|path| self.load(&path)) {
             Ok(settings) => settings,
             Err(error) => {
                 eprintln!("{}: {error}", self.name);
@@ -68,11 +112,13 @@
             }
         };
         if args.check {
-            println!("{}: settings are valid", args.settings.display());
+            println!("{}: settings are valid", self.name);
             return ExitCode::SUCCESS;
         }
         let place = (self.log)(&settings);
-        match run_daemon(settings, place, start, stop) {
+        let built = runtime.enable_all().build().map_err(DaemonError::from);
+        let run = |runtime: Runtime| runtime.block_on(run_daemon(settings, place, start, stop));
+        match built.and_then(run) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
                 eprintln!("{}: {error}", self.name);
@@ -88,7 +134,6 @@
     }
 }
 
-#[tokio::main]
 async fn run_daemon<S, D, Starting, Stopping>(
     settings: S,
     place: LogPlace,
@@ -99,10 +144,7 @@
     Starting: Future<Output = Result<D, DaemonError>>,
     Stopping: Future<Output = ()>,
 {
-    let log = match &place.file {
-        Some(path) => LogSink::file(place.instance, path)?,
-        None => LogSink::stderr(place.instance)?,
-    };
+    let log = place.open()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let daemon = start(settings, log).await?;
--- a/crates/logs/src/decision.rs
+++ b/crates/logs/src/decision.rs
@@ -1,6 +1,9 @@
 //! The record of one decision.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
+use serde_json::Value;
 use units::InstanceId;
 
 /// What was decided.
@@ -40,6 +43,16 @@
     Suspect,
     /// A process started or stopped.
     Process,
+    /// A request was sent to a backend server, or the send ended.
+    Send,
+    /// A request is sent once more.
+    Retry,
+    /// What is known of a backend server changed.
+    Backend,
+    /// A dependency was lost or is back.
+    Dependency,
+    /// What is known of the other entries changed.
+    Member,
 }
 
 /// One decision with what was considered and why.
@@ -56,6 +69,10 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     considered: Vec<String>,
     reason: String,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    inputs: BTreeMap<&'static str, Value>,
+    #[serde(skip)]
+    is_failure: bool,
 }
 
 impl DecisionRecord {
@@ -68,9 +85,30 @@
             chosen: None,
             considered: Vec::new(),
             reason: reason.into(),
+            inputs: BTreeMap::new(),
+            is_failure: false,
         }
     }
 
+    /// Adds a figure that decided, with its unit in the name.
+    #[must_use]
+    pub fn input(mut self, name: &'static str, value: impl Into<Value>) -> Self {
+        self.inputs.insert(name, value.into());
+        self
+    }
+
+    /// Marks the decision as one that a caller or an operator may ask about.
+    #[must_use]
+    pub fn failure(mut self) -> Self {
+        self.is_failure = true;
+        self
+    }
+
+    /// Whether a caller or an operator may ask about the decision.
+    pub fn is_failure(&self) -> bool {
+        self.is_failure
+    }
+
     /// Names the request.
     #[must_use]
     pub fn request(mut self, id: impl ToString) -> Self {
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -3,6 +3,7 @@
 mod decision;
 mod error;
 mod line;
+mod queue;
 mod sink;
 
 pub use decision::DecisionKind;
--- /dev/null
+++ b/crates/logs/src/queue.rs
@@ -0,0 +1,108 @@
+//! Writes lines to standard output from a thread of its own, so that a slow reader blocks nobody.
+
+use std::io::Write;
+use std::sync::{
+    Arc,
+    Condvar,
+    Mutex,
+    MutexGuard, //
+};
+use std::time::Duration;
+
+/// Bytes that wait to be written at most; lines beyond it are dropped and counted.
+const QUEUE_BYTES: usize = 256 * 1024;
+/// Time during which lines are gathered into one write.
+const GATHER_TIME: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Default)]
+struct QueueState {
+    lines: Vec<u8>,
+    dropped: u64,
+}
+
+#[derive(Debug, Default)]
+struct LineQueue {
+    state: Mutex<QueueState>,
+    filled: Condvar,
+}
+
+impl LineQueue {
+    fn lock(&self) -> MutexGuard<'_, QueueState> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn wait(&self) -> QueueState {
+        let state = self.lock();
+        let filled = self
+            .filled
+            .wait_while(state, |state| state.lines.is_empty());
+        drop(filled.unwrap_or_else(|e| e.into_inner()));
+        std::thread::sleep(GATHER_TIME);
+        std::mem::take(&mut *self.lock())
+    }
+}
+
+/// Takes whole lines without ever waiting for the reader.
+#[derive(Debug, Clone)]
+pub(crate) struct QueueWriter {
+    queue: Arc<LineQueue>,
+}
+
+impl QueueWriter {
+    /// Starts the thread that writes to standard output.
+    pub(crate) fn start() -> Self {
+        let queue = Arc::new(LineQueue::default());
+        let writer = Self {
+            queue: queue.clone(),
+        };
+        std::thread::spawn(move || write_lines(&queue, &mut std::io::stdout()));
+        writer
+    }
+
+    /// Writes what waits, before the process ends.
+    pub(crate) fn finish(&self) {
+        let waiting = std::mem::take(&mut *self.queue.lock());
+        // Nobody is left to be told of a failure.
+        let _ = write_batch(&waiting, &mut std::io::stdout());
+    }
+}
+
+fn write_lines(queue: &LineQueue, output: &mut impl Write) {
+    loop {
+        if write_batch(&queue.wait(), output).is_err() {
+            return;
+        }
+    }
+}
+
+fn write_batch(batch: &QueueState, output: &mut impl Write) -> std::io::Result<()> {
+    output.write_all(&batch.lines)?;
+    if batch.dropped > 0 {
+        let count = batch.dropped;
+        writeln!(
+            output,
+            "{{\"level\":\"warn\",\"kind\":\"log\",\"reason\":\"lines dropped\",\"count\":{count}}}"
+        )?;
+    }
+    output.flush()
+}
+
+impl Write for QueueWriter {
+    fn write(&mut self, data: &[u8]) -> std::io::Result<usize> {
+        let mut state = self.queue.lock();
+        if state.lines.len() + data.len() > QUEUE_BYTES {
+            state.dropped += 1;
+            return Ok(data.len());
+        }
+        let was_empty = state.lines.is_empty();
+        state.lines.extend_from_slice(data);
+        if was_empty {
+            self.queue.filled.notify_one();
+        }
+        Ok(data.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/logs/src/sink.rs
+++ b/crates/logs/src/sink.rs
@@ -11,7 +11,8 @@
     FileSink,
     Sink,
     StdStream,
-    StdStreamSink, //
+    StdStreamSink,
+    WriteSink, //
 };
 use spdlog::{
     Level,
@@ -25,6 +26,7 @@
     OpenFileSnafu, //
 };
 use crate::line::LineFormatter;
+use crate::queue::QueueWriter;
 use crate::{
     DecisionKind,
     DecisionRecord,
@@ -37,6 +39,7 @@
     process: InstanceId,
     logger: Option<Arc<Logger>>,
     kept: Option<Arc<Mutex<Vec<DecisionRecord>>>>,
+    queue: Option<QueueWriter>,
 }
 
 impl LogSink {
@@ -66,6 +69,7 @@
             process,
             logger: None,
             kept: None,
+            queue: None,
         }
     }
 
@@ -75,6 +79,7 @@
             process,
             logger: None,
             kept: Some(Arc::default()),
+            queue: None,
         }
     }
 
@@ -89,14 +94,36 @@
             process,
             logger: Some(logger),
             kept: None,
+            queue: None,
         })
     }
 
+    /// Lines to standard output, written by a thread of its own; beyond a bound they are dropped
+    /// and counted, so that no decision waits for a reader.
+    pub fn stdout(process: InstanceId) -> Result<Self, LogError> {
+        let writer = QueueWriter::start();
+        let built = WriteSink::builder()
+            .target(writer.clone())
+            .formatter(LineFormatter)
+            .build_arc();
+        let sink = built.map_err(Box::new).context(BuildLoggerSnafu)?;
+        let mut log = Self::with_sink(process, sink)?;
+        log.queue = Some(writer);
+        Ok(log)
+    }
+
+    /// Writes the lines that still wait, before the process ends.
+    pub fn finish(&self) {
+        if let Some(queue) = &self.queue {
+            queue.finish();
+        }
+    }
+
     /// Writes one decision.
     pub fn decide(&self, record: DecisionRecord) {
         if let Some(logger) = &self.logger {
             let line = record.to_line(&self.process);
-            let level = level_of(record.kind());
+            let level = level_of(&record);
             spdlog::log!(logger: logger, level, "{}", line);
         }
         if let Some(kept) = &self.kept {
@@ -119,9 +146,10 @@
     }
 }
 
-fn level_of(kind: DecisionKind) -> Level {
-    match kind {
+fn level_of(record: &DecisionRecord) -> Level {
+    match record.kind() {
         DecisionKind::Intruder | DecisionKind::RefuseOrder | DecisionKind::Suspect => Level::Warn,
+        _ if record.is_failure() => Level::Warn,
         _ => Level::Info,
     }
 }
--- /dev/null
+++ b/crates/policy/src/fleet.rs
@@ -0,0 +1,280 @@
+//! The backend servers that an entry knows, what it has sent them and how they answered.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::{
+    InstanceId,
+    ServiceName, //
+};
+
+use crate::health::BackendHealth;
+use crate::part_memory::PartMemory;
+use crate::{
+    BackendRecord,
+    EngineStage,
+    PromptChain,
+    SendOutcome, //
+};
+
+/// Time for which an entry that vanished while the store was disturbed may come back. The platform
+/// restores entries of living backend servers within about two seconds.
+const RETURN_TIME: Duration = Duration::from_millis(1_800);
+/// Weight of one answer in the mean time of answers.
+const TIME_WEIGHT: f64 = 0.1;
+
+/// Work that this entry has given to a backend server and that has not ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OpenWork {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens still to be read.
+    pub prompt_tokens: u64,
+    /// Tokens held in the KV memory by running streams.
+    pub memory_tokens: u64,
+}
+
+impl OpenWork {
+    /// Counts more work.
+    pub fn add(&mut self, work: Self) {
+        self.requests += work.requests;
+        self.prompt_tokens += work.prompt_tokens;
+        self.memory_tokens += work.memory_tokens;
+    }
+
+    /// Counts work as ended.
+    pub fn subtract(&mut self, work: Self) {
+        self.requests = self.requests.saturating_sub(work.requests);
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(work.prompt_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(work.memory_tokens);
+    }
+}
+
+/// How a list update changed what is known of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendChange {
+    /// It was not known before.
+    Joined,
+    /// It has announced that it leaves.
+    Leaving,
+    /// It takes work again.
+    Returned,
+    /// It runs anew under the same instance.
+    Restarted,
+    /// It runs another stage.
+    Stage,
+    /// It is gone.
+    Gone,
+    /// Its entry vanished while the store was disturbed; it may come back.
+    Doubtful,
+}
+
+impl BackendChange {
+    /// The change's name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Joined => "joined",
+            Self::Leaving => "leaving",
+            Self::Returned => "returned",
+            Self::Restarted => "restarted",
+            Self::Stage => "stage_changed",
+            Self::Gone => "gone",
+            Self::Doubtful => "entry_missing",
+        }
+    }
+}
+
+/// What is known of one backend server.
+#[derive(Debug, Clone)]
+pub struct BackendView {
+    /// Its entry in the platform's list.
+    pub record: BackendRecord,
+    /// Work that it runs for this entry.
+    pub open: OpenWork,
+    /// Work that it runs for the other entries, as they last said.
+    pub others: OpenWork,
+    /// Own sight of its answers.
+    pub health: BackendHealth,
+    pub(crate) parts: PartMemory,
+    answer_seconds: Option<f64>,
+    missing_since: Option<Instant>,
+}
+
+impl BackendView {
+    fn new(record: BackendRecord) -> Self {
+        Self {
+            record,
+            open: OpenWork::default(),
+            others: OpenWork::default(),
+            health: BackendHealth::default(),
+            parts: PartMemory::default(),
+            answer_seconds: None,
+            missing_since: None,
+        }
+    }
+
+    /// Mean time of its answers, once there were any.
+    pub fn answer_time(&self) -> Option<Duration> {
+        self.answer_seconds.map(Duration::from_secs_f64)
+    }
+
+    /// Work of all entries together.
+    pub fn total(&self) -> OpenWork {
+        OpenWork {
+            requests: self.open.requests + self.others.requests,
+            prompt_tokens: self.open.prompt_tokens + self.others.prompt_tokens,
+            memory_tokens: self.open.memory_tokens + self.others.memory_tokens,
+        }
+    }
+
+    /// Notes that the engine reads a prompt, whose shared parts it then keeps.
+    pub fn note_read(&mut self, chain: &PromptChain, memory_tokens: u64) {
+        self.parts.read(chain, memory_tokens);
+    }
+
+    fn is_open(&self) -> bool {
+        !self.record.leaving
+    }
+}
+
+/// All backend servers known to an entry.
+#[derive(Debug, Clone, Default)]
+pub struct BackendFleet {
+    views: BTreeMap<InstanceId, BackendView>,
+}
+
+impl BackendFleet {
+    /// Takes an entry of the list.
+    pub fn upsert(&mut self, record: BackendRecord) -> Option<BackendChange> {
+        let instance = record.instance.clone();
+        let Some(view) = self.views.get_mut(&instance) else {
+            self.views.insert(instance, BackendView::new(record));
+            return Some(BackendChange::Joined);
+        };
+        let before = std::mem::replace(&mut view.record, record);
+        view.missing_since = None;
+        let restarted = before.born_ms != view.record.born_ms
+            || before.address != view.record.address
+            || before.service != view.record.service;
+        if restarted {
+            view.parts.clear();
+            view.health = BackendHealth::default();
+            return Some(BackendChange::Restarted);
+        }
+        if before.leaving != view.record.leaving {
+            let leaves = view.record.leaving;
+            return Some(if leaves {
+                BackendChange::Leaving
+            } else {
+                BackendChange::Returned
+            });
+        }
+        (before.stage != view.record.stage).then_some(BackendChange::Stage)
+    }
+
+    /// Takes the removal of an entry; in doubt it gets some time to come back.
+    pub fn remove(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        in_doubt: bool,
+    ) -> Option<BackendChange> {
+        let view = self.views.get_mut(instance)?;
+        if in_doubt && view.is_open() {
+            let first = view.missing_since.is_none();
+            view.missing_since.get_or_insert(now);
+            return first.then_some(BackendChange::Doubtful);
+        }
+        self.views.remove(instance);
+        Some(BackendChange::Gone)
+    }
+
+    /// Takes the whole list; what it lacks counts as removed.
+    pub fn replace(
+        &mut self,
+        now: Instant,
+        records: Vec<BackendRecord>,
+        in_doubt: bool,
+    ) -> Vec<(InstanceId, BackendChange)> {
+        let mut changes = Vec::new();
+        let listed: std::collections::BTreeSet<InstanceId> =
+            records.iter().map(|r| r.instance.clone()).collect();
+        for record in records {
+            let instance = record.instance.clone();
+            changes.extend(self.upsert(record).map(|change| (instance, change)));
+        }
+        let absent: Vec<InstanceId> = self.views.keys().cloned().collect();
+        for instance in absent.into_iter().filter(|i| !listed.contains(i)) {
+            let change = self.remove(now, &instance, in_doubt);
+            changes.extend(change.map(|change| (instance, change)));
+        }
+        changes
+    }
+
+    /// Drops backend servers whose entries did not come back in time.
+    pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
+        let is_late = |view: &BackendView| {
+            let since = view.missing_since;
+            since.is_some_and(|since| now >= since + RETURN_TIME)
+        };
+        let late = self.views.iter().filter(|(_, view)| is_late(view));
+        let dropped: Vec<InstanceId> = late.map(|(instance, _)| instance.clone()).collect();
+        for instance in &dropped {
+            self.views.remove(instance);
+        }
+        dropped
+    }
+
+    /// What is known of a backend server.
+    pub fn get(&self, instance: &InstanceId) -> Option<&BackendView> {
+        self.views.get(instance)
+    }
+
+    /// What is known of a backend server, to change it.
+    pub fn get_mut(&mut self, instance: &InstanceId) -> Option<&mut BackendView> {
+        self.views.get_mut(instance)
+    }
+
+    /// All backend servers.
+    pub fn views(&self) -> impl Iterator<Item = &BackendView> {
+        self.views.values()
+    }
+
+    /// All backend servers, to change them.
+    pub fn views_mut(&mut self) -> impl Iterator<Item = &mut BackendView> {
+        self.views.values_mut()
+    }
+
+    /// Backend servers of a service that take new work; paused ones only when all are paused.
+    pub fn usable<'a>(
+        &'a self,
+        now: Instant,
+        service: &'a ServiceName,
+        stage: Option<EngineStage>,
+    ) -> Vec<&'a BackendView> {
+        let fits = |view: &&BackendView| {
+            view.record.service == *service && view.record.stage == stage && view.is_open()
+        };
+        let open: Vec<&BackendView> = self.views.values().filter(fits).collect();
+        let awake = open.iter().filter(|view| !view.health.is_paused(now));
+        let awake: Vec<&BackendView> = awake.copied().collect();
+        if awake.is_empty() { open } else { awake }
+    }
+
+    /// Notes the outcome of a send; true when the backend server is paused by it.
+    pub fn note(&mut self, now: Instant, instance: &InstanceId, outcome: SendOutcome) -> bool {
+        let view = self.views.get_mut(instance);
+        view.is_some_and(|view| view.health.note(now, outcome))
+    }
+
+    /// Notes how long an answer took.
+    pub fn note_time(&mut self, instance: &InstanceId, taken: Duration) {
+        let Some(view) = self.views.get_mut(instance) else {
+            return;
+        };
+        let taken = taken.as_secs_f64();
+        let mean = view.answer_seconds.get_or_insert(taken);
+        *mean += TIME_WEIGHT * (taken - *mean);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,222 @@
+//! Chooses the backend server for each stage of a request.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use twox_hash::XxHash3_64;
+use units::{
+    DataCentre,
+    InstanceId,
+    ServiceName, //
+};
+
+use crate::fleet::BackendView;
+use crate::{
+    BackendFleet,
+    EngineStage,
+    PromptChain, //
+};
+
+/// Time of a plain answer before any was seen.
+const ANSWER_PRIOR: Duration = Duration::from_millis(50);
+/// Score of a hop to another data centre, in milliseconds: its delay both ways and its traffic.
+const REMOTE_MS: f64 = 6.0;
+/// Score of moving a KV cache to another data centre, in milliseconds for each thousand tokens.
+const REMOTE_MOVE_MS: f64 = 8.0;
+/// Score of a share of failed answers, in milliseconds for all answers failing.
+const FAILURE_MS: f64 = 400.0;
+/// Share of a part that the engine of highest weight for it is thought to keep, as other entries
+/// send it there too.
+const AGREED_SHARE: f64 = 0.8;
+/// Score of each stream that a decode engine runs, in milliseconds.
+const STREAM_MS: f64 = 3.0;
+/// Score of a full KV memory, in milliseconds.
+const MEMORY_MS: f64 = 400.0;
+
+/// A choice and the scores behind it, best first, in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// Backend server chosen.
+    pub instance: InstanceId,
+    /// Time until the work starts there, as predicted.
+    pub wait: Duration,
+    /// Prompt tokens that it has to read.
+    pub uncached: u32,
+    /// Backend servers looked at with their scores.
+    pub considered: Vec<(InstanceId, u32)>,
+}
+
+/// What a placement needs to know of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementNeed<'a> {
+    /// Service of the request.
+    pub service: &'a ServiceName,
+    /// Data centre from which it is sent.
+    pub centre: &'a DataCentre,
+    /// Backend servers that were tried already.
+    pub avoid: &'a BTreeSet<InstanceId>,
+}
+
+struct Candidate<'a> {
+    view: &'a BackendView,
+    score: f64,
+    wait: f64,
+    uncached: u32,
+}
+
+fn candidates<'a>(
+    fleet: &'a BackendFleet,
+    now: Instant,
+    need: PlacementNeed<'a>,
+    stage: Option<EngineStage>,
+) -> Vec<&'a BackendView> {
+    let usable = fleet.usable(now, need.service, stage);
+    let fresh = usable
+        .into_iter()
+        .filter(|view| !need.avoid.contains(&view.record.instance));
+    fresh.collect()
+}
+
+fn choose<'a>(scored: impl Iterator<Item = Candidate<'a>>) -> Option<Placement> {
+    let mut scored: Vec<Candidate<'a>> = scored.collect();
+    scored.sort_by(|a, b| a.score.total_cmp(&b.score));
+    let considered = scored.iter().take(4);
+    let considered = considered.map(|c| (c.view.record.instance.clone(), c.score as u32));
+    let best = scored.first()?;
+    Some(Placement {
+        instance: best.view.record.instance.clone(),
+        wait: Duration::from_secs_f64(best.wait.max(0.0) / 1_000.0),
+        uncached: best.uncached,
+        considered: considered.collect(),
+    })
+}
+
+fn hop_ms(view: &BackendView, centre: &DataCentre) -> f64 {
+    if view.record.centre == *centre {
+        0.0
+    } else {
+        REMOTE_MS
+    }
+}
+
+/// The backend server of a plain service with the least expected time.
+pub fn place_call(
+    fleet: &BackendFleet,
+    now: Instant,
+    need: PlacementNeed<'_>,
+) -> Option<Placement> {
+    let scored = candidates(fleet, now, need, None).into_iter().map(|view| {
+        let answer = view.answer_time().unwrap_or(ANSWER_PRIOR);
+        let answer = answer.as_secs_f64() * 1_000.0;
+        let load = f64::from(view.total().requests) / f64::from(view.record.slots.max(1));
+        let wait = load * answer;
+        let failures = view.health.failure_share() * FAILURE_MS;
+        Candidate {
+            view,
+            score: wait + answer + failures + hop_ms(view, need.centre),
+            wait,
+            uncached: 0,
+        }
+    });
+    choose(scored)
+}
+
+/// Speeds of a service's engines, as learned from their answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineSpeed {
+    /// Prompt tokens that a prefill engine reads in a millisecond.
+    pub prefill: f64,
+    /// Prompt tokens that a decode engine reads in a millisecond.
+    pub inline: f64,
+    /// Tokens of one engine's KV memory.
+    pub memory_tokens: u64,
+}
+
+/// The prefill engine that has read the prompt soonest.
+pub fn place_prefill(
+    fleet: &BackendFleet,
+    now: Instant,
+    need: PlacementNeed<'_>,
+    chain: &PromptChain,
+    speed: EngineSpeed,
+) -> Option<Placement> {
+    let views = candidates(fleet, now, need, Some(EngineStage::Prefill));
+    let agreed = agreed_place(&views, chain);
+    let scored = views.into_iter().map(|view| {
+        let mut cached = view.parts.cached_tokens(chain);
+        if agreed.as_ref() == Some(&view.record.instance) {
+            let shared = chain.tokens() - own_tokens(chain);
+            cached = cached.max((f64::from(shared) * AGREED_SHARE) as u32);
+        }
+        let uncached = chain.tokens().saturating_sub(cached);
+        let wait = view.total().prompt_tokens as f64 / speed.prefill;
+        let read = f64::from(uncached) / speed.prefill;
+        let failures = view.health.failure_share() * FAILURE_MS;
+        Candidate {
+            view,
+            score: wait + read + failures + hop_ms(view, need.centre),
+            wait,
+            uncached,
+        }
+    });
+    choose(scored)
+}
+
+/// The decode engine that slows a stream least, given where its KV cache lies.
+pub fn place_decode(
+    fleet: &BackendFleet,
+    now: Instant,
+    need: PlacementNeed<'_>,
+    chain: &PromptChain,
+    speed: EngineSpeed,
+    source: Option<&DataCentre>,
+) -> Option<Placement> {
+    let views = candidates(fleet, now, need, Some(EngineStage::Decode));
+    let agreed = agreed_place(&views, chain).filter(|_| source.is_none());
+    let scored = views.into_iter().map(|view| {
+        let total = view.total();
+        let mut cached = view.parts.cached_tokens(chain);
+        if agreed.as_ref() == Some(&view.record.instance) {
+            let shared = chain.tokens() - own_tokens(chain);
+            cached = cached.max((f64::from(shared) * AGREED_SHARE) as u32);
+        }
+        let uncached = match source {
+            Some(_) => 0,
+            None => chain.tokens().saturating_sub(cached),
+        };
+        let wait = total.prompt_tokens as f64 / speed.inline;
+        let read = f64::from(uncached) / speed.inline;
+        let crowd = f64::from(total.requests) * STREAM_MS;
+        let memory = total.memory_tokens as f64 / speed.memory_tokens.max(1) as f64;
+        let moved = match source {
+            Some(centre) if *centre != view.record.centre => {
+                f64::from(chain.tokens()) / 1_000.0 * REMOTE_MOVE_MS
+            }
+            _ => 0.0,
+        };
+        let failures = view.health.failure_share() * FAILURE_MS;
+        let hop = hop_ms(view, need.centre);
+        Candidate {
+            view,
+            score: wait + read + crowd + memory * MEMORY_MS + moved + failures + hop,
+            wait,
+            uncached,
+        }
+    });
+    choose(scored)
+}
+
+fn own_tokens(chain: &PromptChain) -> u32 {
+    chain.parts().last().map_or(0, |part| part.tokens.0)
+}
+
+/// The engine of highest weight for the chain's last shared part, the same on every entry.
+fn agreed_place(views: &[&BackendView], chain: &PromptChain) -> Option<InstanceId> {
+    let part = chain.affinity()?;
+    let weight = |view: &&&BackendView| {
+        XxHash3_64::oneshot_with_seed(part.0, view.record.instance.as_str().as_bytes())
+    };
+    let first = views.iter().max_by_key(weight)?;
+    Some(first.record.instance.clone())
+}
--- a/crates/side/src/main.rs
+++ b/crates/side/src/main.rs
@@ -13,9 +13,8 @@
     let program = DaemonProgram {
         name: "galenarail-side",
         check: SideSettings::check,
-        log: |settings: &SideSettings| LogPlace {
-            instance: settings.instance.clone(),
-            file: settings.log_file.clone(),
+        log: |settings: &SideSettings| {
+            LogPlace::File(settings.instance.clone(), settings.log_file.clone())
         },
     };
     program.run(
--- a/crates/units/src/name.rs
+++ b/crates/units/src/name.rs
@@ -93,6 +93,8 @@
     InstanceId => "instance id";
     /// A model that backend servers run.
     ModelName => "model name";
+    /// A route of the operators' configuration.
+    RouteName => "route name";
     /// A plain service beside the model engines.
     ServiceName => "service name";
 }
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -114,6 +114,8 @@
     FingerprintId(u64, "16") => "fingerprint";
     /// One run of a process; a restart draws a new one.
     IncarnationId(u64, "16") => "incarnation";
+    /// A part of a prompt that requests may share.
+    PartId(u64, "8") => "prompt part";
     /// A caller's request, across all its attempts.
     RequestId(u128, "32") => "request id";
 }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -1,6 +1,5 @@
 //! Bodies of requests and replies.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{
     Context,
@@ -28,16 +27,24 @@
     Response,
     StatusCode, //
 };
+use snafu::Snafu;
 use tokio::sync::mpsc;
 
 use crate::WebError;
 
+/// Why a reply ends before it is whole; its connection is then closed without the reply's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Snafu)]
+#[snafu(display("the reply broke off before its end; send the request again if it may run again"))]
+pub struct BrokenReply;
+
 /// Body of a reply, whole or streamed.
-pub type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
+pub type ReplyBody = UnsyncBoxBody<Bytes, BrokenReply>;
 
 /// A body that is whole from the start.
 pub fn bytes_body(data: impl Into<Bytes>) -> ReplyBody {
-    Full::new(data.into()).boxed_unsync()
+    let body = Full::new(data.into());
+    body.map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A JSON reply.
@@ -52,23 +59,42 @@
 /// A body whose parts come through a channel; a closed channel ends it.
 pub fn channel_body(depth: usize) -> (mpsc::Sender<Bytes>, ReplyBody) {
     let (sender, receiver) = mpsc::channel(depth);
-    (sender, ChannelBody { receiver }.boxed_unsync())
+    let body = ChannelBody {
+        receiver,
+        to_part: Ok,
+    };
+    (sender, body.boxed_unsync())
+}
+
+/// Part of a reply, or the reason for which it breaks off.
+pub type ReplyPart = Result<Bytes, BrokenReply>;
+
+/// A body whose parts come through a channel and which may break off; a closed channel ends it.
+pub fn breakable_body(depth: usize) -> (mpsc::Sender<ReplyPart>, ReplyBody) {
+    let (sender, receiver) = mpsc::channel(depth);
+    let body = ChannelBody {
+        receiver,
+        to_part: |part| part,
+    };
+    (sender, body.boxed_unsync())
 }
 
-struct ChannelBody {
-    receiver: mpsc::Receiver<Bytes>,
+struct ChannelBody<T> {
+    receiver: mpsc::Receiver<T>,
+    to_part: fn(T) -> ReplyPart,
 }
 
-impl Body for ChannelBody {
+impl<T> Body for ChannelBody<T> {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BrokenReply;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenReply>>> {
         let polled = self.receiver.poll_recv(context);
-        polled.map(|part| part.map(|data| Ok(Frame::data(data))))
+        let to_part = self.to_part;
+        polled.map(|part| part.map(|part| to_part(part).map(Frame::data)))
     }
 }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,16 +1,23 @@
 //! HTTP server and client over `hyper`, with limits on size, connections and time.
 
 mod body;
+mod channel;
 mod client;
 mod error;
 mod listen;
 mod server;
 
+pub use body::BrokenReply;
 pub use body::ReplyBody;
+pub use body::ReplyPart;
+pub use body::breakable_body;
 pub use body::bytes_body;
 pub use body::channel_body;
 pub use body::json_reply;
 pub use body::read_body;
+pub use channel::ChannelPool;
+pub use channel::OpenChannel;
+pub use channel::SendFailure;
 pub use client::HttpCall;
 pub use client::HttpReply;
 pub use client::open_call;
