gateway: planner's lease gives engines their stages

Cause: the deployment starts with a third of prefill engines, and prompts wait for them. First orders were all refused (409): the count that the list of backend servers bears counts heartbeats, not accepted orders.

Ruled out: orders without a condition, since one that is carried out late would undo a newer one.

Change: one leased key in the store, fencing token from the revision of its creation, a settling time after each change of the holder, a clock that sees suspensions, and the count of accepted orders read from the engine's report.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -47,6 +47,7 @@
     GatewayShared,
     LifePhase, //
 };
+use crate::stages::plan_stages;
 
 /// Time during which a stopping gateway takes what still arrives: the balancer asks once a second
 /// and turns away after two answers.
@@ -119,6 +120,7 @@
             tokio::spawn(follow_backends(shared.clone())),
             tokio::spawn(expire_backends(shared.clone())),
             tokio::spawn(follow_members(shared.clone())),
+            tokio::spawn(plan_stages(shared.clone())),
         ];
         let record = DecisionRecord::new(DecisionKind::Process, "started").chosen(address);
         shared.log.decide(record);
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -1,5 +1,6 @@
 //! Requests to model engines: which stage reads the prompt, and which engine generates.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -63,6 +64,7 @@
 pub(crate) async fn serve_generation(
     call: Arc<CallContext>,
 ) -> Result<Response<ReplyBody>, OwnAnswer> {
+    note_offered(&call);
     let mut sent = SendCount::default();
     let run = open_run(&call, &mut sent, None).await?;
     let taken = call.started.elapsed();
@@ -70,6 +72,24 @@
     Ok(start_pump(call, run, sent))
 }
 
+/// Counts the prompt as work asked of the prefill stage, whoever reads it.
+fn note_offered(call: &CallContext) {
+    let now = Instant::now();
+    let mut state = call.shared.lock();
+    let speed = state.speed(&call.service);
+    let avoid = BTreeSet::new();
+    let need = PlacementNeed {
+        service: &call.service,
+        centre: &call.shared.settings.data_centre,
+        avoid: &avoid,
+    };
+    let chain = &call.facts.chain;
+    let place = place_prefill(&state.fleet, now, need, chain, speed);
+    let tokens = place.map_or(chain.tokens(), |place| place.uncached);
+    let sight = state.speeds.entry(call.service.clone()).or_default();
+    sight.offered.add(now, tokens.into());
+}
+
 /// Has the prompt read where that is soonest and opens the stream, with further tries as far as
 /// they are allowed.
 pub(crate) async fn open_run(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod send;
 mod serve;
 mod shared;
+mod stages;
 
 pub use daemon::GatewayDaemon;
 pub use error::GatewayError;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,60 +1,101 @@
-//! Membership of the gateways, by leased keys in the store.
+//! Membership of the gateways and the planner's lease, by leased keys in the store.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use host::boot_time;
 use logs::{
     DecisionKind,
     DecisionRecord, //
 };
 use platform::{
+    KeyCheck,
+    KeyItem,
     KeyPut,
     LeaseId,
     PlatformError,
     WriteReply, //
 };
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+use units::EpochNumber;
 
 use crate::follow::counted;
 use crate::shared::GatewayShared;
 
-/// Start of the keys of gateways; the instance follows.
+/// Start of the keys of the gateways.
+const OWN_PREFIX: &str = "galenarail/";
+/// Start of the keys of members; the instance follows.
 const MEMBER_PREFIX: &str = "galenarail/members/";
+/// Key of the gateway that gives orders.
+const PLANNER_KEY: &str = "galenarail/planner";
 /// Time for which a gateway counts as a member without renewing its lease.
 const MEMBER_LIFETIME: Duration = Duration::from_secs(20);
-/// Pause between renewals and looks at the other members.
-const MEMBER_PAUSE: Duration = Duration::from_secs(5);
+/// Time for which the planner's lease holds without renewal.
+pub(crate) const PLANNER_LIFETIME: Duration = Duration::from_secs(8);
+/// Pause between renewals of the planner's lease.
+const RENEW_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between looks at the other members.
+const LOOK_PAUSE: Duration = Duration::from_secs(5);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// Keeps the gateway's own key and the count of all, until aborted.
+/// The leases that this gateway holds.
+#[derive(Default)]
+struct HeldLeases {
+    member: Option<LeaseId>,
+    planner: Option<LeaseId>,
+    looked: Option<Instant>,
+    renewed: Option<Instant>,
+}
+
+/// Keeps the gateway's own key, the count of all, and the planner's lease if it is free, until
+/// aborted.
 pub(crate) async fn follow_members(shared: Arc<GatewayShared>) {
-    let mut lease = None;
+    let mut held = HeldLeases::default();
     loop {
-        let pause = match keep_member(&shared, &mut lease).await {
-            Ok(()) => MEMBER_PAUSE,
+        let pause = match step(&shared, &mut held).await {
+            Ok(()) => RENEW_PAUSE,
             Err(_) => RETRY_PAUSE,
         };
         sleep(pause).await;
     }
 }
 
-async fn keep_member(
-    shared: &GatewayShared,
-    lease: &mut Option<LeaseId>,
-) -> Result<(), PlatformError> {
-    match *lease {
-        Some(held) if counted(shared, shared.store.renew_lease(held)).await? => {}
-        _ => *lease = Some(join(shared).await?),
+async fn step(shared: &GatewayShared, held: &mut HeldLeases) -> Result<(), PlatformError> {
+    if held.planner.is_some() {
+        renew_planner(shared, held).await?;
     }
-    let page = counted(shared, shared.store.range(MEMBER_PREFIX)).await?;
-    let count = page.items.len();
-    let before = std::mem::replace(&mut shared.lock().entries, count);
-    if before != count {
-        let record = DecisionRecord::new(DecisionKind::Member, "count of gateways changed");
-        let record = record.input("before", before).input("now", count);
-        shared.log.decide(record.input("revision", page.revision));
+    let now = Instant::now();
+    if held.looked.is_some_and(|at| now < at + LOOK_PAUSE) {
+        return Ok(());
+    }
+    keep_member(shared, held).await?;
+    let page = counted(shared, shared.store.range(OWN_PREFIX)).await?;
+    held.looked = Some(now);
+    note_members(shared, &page.items, page.revision);
+    let is_free = page.items.iter().all(|item| item.key != PLANNER_KEY);
+    if is_free && held.planner.is_none() && !shared.is_leaving() {
+        gain_planner(shared, held).await?;
+    }
+    Ok(())
+}
+
+async fn keep_member(shared: &GatewayShared, held: &mut HeldLeases) -> Result<(), PlatformError> {
+    let now = Instant::now();
+    let due = held.renewed.is_none_or(|at| now >= at + LOOK_PAUSE);
+    match held.member {
+        Some(_) if !due => {}
+        Some(lease) if counted(shared, shared.store.renew_lease(lease)).await? => {
+            held.renewed = Some(now);
+        }
+        _ => {
+            held.member = Some(join(shared).await?);
+            held.renewed = Some(now);
+        }
     }
     Ok(())
 }
@@ -72,3 +113,65 @@
         WriteReply::Conflict | WriteReply::LeaseEnded => Err(PlatformError::HistoryGone),
     }
 }
+
+fn note_members(shared: &GatewayShared, items: &[KeyItem], revision: u64) {
+    let members = items.iter().filter(|i| i.key.starts_with(MEMBER_PREFIX));
+    let count = members.count();
+    let before = std::mem::replace(&mut shared.lock().entries, count);
+    if before != count {
+        let record = DecisionRecord::new(DecisionKind::Member, "count of gateways changed");
+        let record = record.input("before", before).input("now", count);
+        shared.log.decide(record.input("revision", revision));
+    }
+}
+
+async fn gain_planner(shared: &GatewayShared, held: &mut HeldLeases) -> Result<(), PlatformError> {
+    let sent = boot_time();
+    let lease = counted(shared, shared.store.open_lease(PLANNER_LIFETIME)).await?;
+    let free = KeyCheck {
+        key: PLANNER_KEY.into(),
+        revision: 0,
+    };
+    let put = KeyPut {
+        key: PLANNER_KEY.into(),
+        value: Bytes::from(shared.settings.instance.to_string()),
+        lease: Some(lease),
+    };
+    let write = shared.store.write(vec![free], vec![put], Vec::new());
+    let written = counted(shared, write).await;
+    if let Ok(WriteReply::Done(revision)) = written {
+        held.planner = Some(lease);
+        // Revisions grow, so that a later holder has a higher token.
+        shared.lock().turn.gain(sent, EpochNumber(revision));
+        let record = DecisionRecord::new(DecisionKind::Lease, "planner lease gained");
+        shared.log.decide(record.chosen(revision));
+        return Ok(());
+    }
+    // A write whose answer was lost may still take effect; without its lease it cannot.
+    counted(shared, shared.store.end_lease(lease)).await?;
+    written.map(|_| ())
+}
+
+async fn renew_planner(shared: &GatewayShared, held: &mut HeldLeases) -> Result<(), PlatformError> {
+    let Some(lease) = held.planner else {
+        return Ok(());
+    };
+    if shared.is_leaving() {
+        lose_planner(shared, held, "gateway leaves");
+        return counted(shared, shared.store.end_lease(lease)).await;
+    }
+    let sent = boot_time();
+    if counted(shared, shared.store.renew_lease(lease)).await? {
+        shared.lock().turn.renew(sent);
+    } else {
+        lose_planner(shared, held, "lease ended");
+    }
+    Ok(())
+}
+
+fn lose_planner(shared: &GatewayShared, held: &mut HeldLeases, reason: &str) {
+    held.planner = None;
+    shared.lock().turn.lose();
+    let record = DecisionRecord::new(DecisionKind::Lease, "planner lease lost");
+    shared.log.decide(record.input("cause", reason).failure());
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,8 @@
 use policy::{
     BackendFleet,
     EngineSpeed,
+    OfferedRate,
+    OrderTurn,
     ReadSpeed,
     RepeatBudget,
     RepeatTerms,
@@ -24,6 +26,7 @@
 use units::ServiceName;
 use web::ChannelPool;
 
+use crate::members::PLANNER_LIFETIME;
 use crate::metrics::GatewayMetrics;
 
 /// Time for one call of the store.
@@ -45,6 +48,8 @@
 pub(crate) struct SpeedSight {
     pub(crate) prefill: ReadSpeed,
     pub(crate) inline: ReadSpeed,
+    /// Prompt tokens that callers ask to have read.
+    pub(crate) offered: OfferedRate,
 }
 
 /// State that changes.
@@ -56,6 +61,8 @@
     pub(crate) speeds: BTreeMap<ServiceName, SpeedSight>,
     /// Gateways that share the budgets of further sends.
     pub(crate) entries: usize,
+    /// This gateway's turn to give orders.
+    pub(crate) turn: OrderTurn,
     /// End of the latest disturbance of the store that this gateway has seen.
     pub(crate) store_disturbed: Option<Instant>,
 }
@@ -73,6 +80,7 @@
 
 impl GatewayShared {
     pub(crate) fn new(settings: GatewaySettings, log: LogSink) -> Self {
+        let settle = settings.order_turn();
         Self {
             store: KeyStore::new(settings.store, STORE_CALL_TIME),
             settings,
@@ -85,6 +93,7 @@
                 budgets: BTreeMap::new(),
                 speeds: BTreeMap::new(),
                 entries: 0,
+                turn: OrderTurn::new(PLANNER_LIFETIME, settle),
                 store_disturbed: None,
             }),
             pool: Mutex::new(ChannelPool::default()),
--- /dev/null
+++ b/crates/gateway/src/stages.rs
@@ -0,0 +1,203 @@
+//! Orders engines to change their stage while this gateway holds the planner's lease.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use host::boot_time;
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use platform::{
+    PlatformError,
+    StageOrder,
+    read_report,
+    send_order, //
+};
+use policy::{
+    EngineStage,
+    PendingOrders,
+    StageChange,
+    StageDemand,
+    StagePlanner,
+    StageSight, //
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+use units::{
+    EpochNumber,
+    ServiceName, //
+};
+
+use crate::shared::{
+    GatewayShared,
+    GatewayState, //
+};
+
+/// Pause between plans.
+const PLAN_PAUSE: Duration = Duration::from_millis(500);
+/// Time without a disturbance of the store before an order is sent.
+const CALM_TIME: Duration = Duration::from_secs(4);
+/// Time for an engine to take an order.
+const ORDER_TIME: Duration = Duration::from_millis(800);
+/// Changes of stage under way at a time, as a share of the engines.
+const CHANGING_SHARE: f64 = 0.12;
+
+/// A change with the authority under which it is ordered.
+struct PlannedOrder {
+    address: SocketAddr,
+    epoch: EpochNumber,
+    change: StageChange,
+}
+
+/// Plans the stages of every service's engines, until aborted.
+pub(crate) async fn plan_stages(shared: Arc<GatewayShared>) {
+    let mut planners: BTreeMap<ServiceName, StagePlanner> = BTreeMap::new();
+    let mut pending = PendingOrders::default();
+    loop {
+        sleep(PLAN_PAUSE).await;
+        let services = shared.lock().engine_services();
+        for service in services {
+            let planner = planners.entry(service.clone()).or_default();
+            while let Some(planned) = next_order(&shared, &service, planner, &mut pending) {
+                give_order(&shared, planned).await;
+            }
+        }
+    }
+}
+
+fn next_order(
+    shared: &GatewayShared,
+    service: &ServiceName,
+    planner: &mut StagePlanner,
+    pending: &mut PendingOrders,
+) -> Option<PlannedOrder> {
+    let now = Instant::now();
+    let state = shared.lock();
+    let epoch = state.turn.epoch(boot_time())?;
+    let disturbed = state.store_disturbed;
+    if disturbed.is_some_and(|at| now < at + CALM_TIME) {
+        return None;
+    }
+    let sights = sights(&state, service, pending, now);
+    let changing = sights.iter().filter(|sight| sight.is_changing).count();
+    let seen = state.demand(service, now);
+    let limit = (sights.len() as f64 * CHANGING_SHARE).ceil() as usize;
+    if seen.is_some() && changing >= limit {
+        return None;
+    }
+    let change = planner.plan(now, &sights, seen)?;
+    let view = state.fleet.get(&change.instance)?;
+    pending.send(now, change.instance.clone(), change.stage);
+    Some(PlannedOrder {
+        address: view.record.address,
+        epoch,
+        change,
+    })
+}
+
+fn sights(
+    state: &GatewayState,
+    service: &ServiceName,
+    pending: &PendingOrders,
+    now: Instant,
+) -> Vec<StageSight> {
+    let views = state.fleet.views();
+    let engines = views.filter(|view| view.record.service == *service && !view.record.leaving);
+    let sights = engines.filter_map(|view| {
+        let record = &view.record;
+        let stage = record.stage?;
+        let ordered = pending.ordered(now, &record.instance, stage);
+        Some(StageSight {
+            instance: record.instance.clone(),
+            centre: record.centre.clone(),
+            // An order under way counts as carried out.
+            stage: ordered.unwrap_or(stage),
+            is_changing: ordered.is_some(),
+            requests: view.total().requests,
+        })
+    });
+    sights.collect()
+}
+
+async fn give_order(shared: &GatewayShared, planned: PlannedOrder) {
+    let outcome = match send_checked(shared, &planned).await {
+        Ok(status) => status.to_string(),
+        Err(error) => error.to_string(),
+    };
+    let change = &planned.change;
+    let record = DecisionRecord::new(DecisionKind::Order, outcome)
+        .chosen(format!("{} to {}", change.instance, change.stage))
+        .input("epoch", planned.epoch.0)
+        .input("prefill_wanted", change.wanted)
+        .input("prefill_present", change.present);
+    shared.log.decide(record);
+}
+
+/// Reads how many orders the engine has accepted and sends the order under that condition, so that
+/// an order which was held up on the way has no effect after another one.
+async fn send_checked(
+    shared: &GatewayShared,
+    planned: &PlannedOrder,
+) -> Result<u16, PlatformError> {
+    let instance = &planned.change.instance;
+    let report = read_report(planned.address, instance, ORDER_TIME).await?;
+    let order = StageOrder {
+        instance: instance.clone(),
+        stage: planned.change.stage,
+        holder: shared.settings.instance.clone(),
+        epoch: planned.epoch,
+        orders: report.orders,
+    };
+    // The report took time; the turn may have ended meanwhile.
+    if shared.lock().turn.epoch(boot_time()) != Some(planned.epoch) {
+        return Err(PlatformError::HistoryGone);
+    }
+    let answer = send_order(planned.address, &order, ORDER_TIME).await;
+    let label = answer.as_ref().map_or("lost", |status| match status {
+        200 | 202 => "accepted",
+        _ => "refused",
+    });
+    shared.metrics.orders.with_label_values(&[label]).inc();
+    if matches!(answer, Ok(412)) {
+        // A later holder has given orders.
+        shared.lock().turn.lose();
+    }
+    answer
+}
+
+impl GatewayState {
+    /// Services whose backend servers are engines of two stages.
+    fn engine_services(&self) -> Vec<ServiceName> {
+        let Some(table) = &self.table else {
+            return Vec::new();
+        };
+        let services = table.services.iter();
+        let engines = services.filter(|(_, spec)| spec.engine.is_some());
+        engines.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Work that callers ask of a service, once there was any.
+    fn demand(&self, service: &ServiceName, now: Instant) -> Option<StageDemand> {
+        let sight = self.speeds.get(service)?;
+        if sight.offered.is_unseen() {
+            return None;
+        }
+        let views = self.fleet.views();
+        let decode = views.filter(|view| {
+            view.record.service == *service && view.record.stage == Some(EngineStage::Decode)
+        });
+        let streams: u32 = decode.map(|view| view.total().requests).sum();
+        let spec = self.table.as_ref()?.services.get(service)?;
+        Some(StageDemand {
+            prompt_tokens_per_ms: sight.offered.per_ms(now) * self.entries.max(1) as f64,
+            read_speed: sight.prefill.tokens_per_ms(),
+            streams: f64::from(streams) * self.entries.max(1) as f64,
+            slots: f64::from(spec.engine.as_ref()?.slots),
+        })
+    }
+}
--- /dev/null
+++ b/crates/host/src/clock.rs
@@ -0,0 +1,17 @@
+//! A clock that also runs while the instance is suspended.
+
+use std::time::Duration;
+
+use policy::BootTime;
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
+
+/// Time since the instance's boot, with suspensions.
+pub fn boot_time() -> BootTime {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    BootTime(Duration::new(seconds, nanos))
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,10 +1,12 @@
 //! What the daemons' programs share: arguments, settings, logs, signals and metrics.
 
 mod args;
+mod clock;
 mod metrics;
 mod program;
 
 pub use args::DaemonArgs;
+pub use clock::boot_time;
 pub use metrics::MetricSet;
 pub use program::DaemonError;
 pub use program::DaemonProgram;
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -54,8 +54,6 @@
     pub cold: Duration,
     /// Stage, for engines.
     pub stage: Option<EngineStage>,
-    /// Orders accepted since its start.
-    pub orders: u64,
     /// Start of its present run, in milliseconds since 1970, where it says so.
     pub born_ms: Option<u64>,
 }
--- /dev/null
+++ b/crates/policy/src/stage_planner.rs
@@ -0,0 +1,160 @@
+//! Decides how many engines read prompts apart, and which one changes its stage.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::{
+    DataCentre,
+    InstanceId, //
+};
+
+use crate::EngineStage;
+
+/// Share of engines that read prompts before any work has been seen.
+const SHARE_PRIOR: f64 = 0.56;
+/// Time that a need must last before engines change for it.
+const LASTING_TIME: Duration = Duration::from_secs(6);
+/// Least time between two changes once work is seen, since each takes an engine away.
+const CHANGE_PAUSE: Duration = Duration::from_secs(6);
+/// Share of a prefill engine's time that is planned to be used.
+const PREFILL_USE: f64 = 0.6;
+/// Share of a decode engine's slots that is planned to be used.
+const SLOT_USE: f64 = 0.35;
+/// Engines by which the present split must be off, as a share of all.
+const CHANGE_SHARE: f64 = 0.1;
+
+/// What a planner sees of an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StageSight {
+    /// Its instance.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Its stage.
+    pub stage: EngineStage,
+    /// Whether an order may be under way there.
+    pub is_changing: bool,
+    /// Requests that it runs.
+    pub requests: u32,
+}
+
+/// Work that callers ask for, of all gateways together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StageDemand {
+    /// Prompt tokens to be read in a millisecond.
+    pub prompt_tokens_per_ms: f64,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub read_speed: f64,
+    /// Streams that run.
+    pub streams: f64,
+    /// Streams that one engine runs at most.
+    pub slots: f64,
+}
+
+/// A change of stage to order.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StageChange {
+    /// Engine to change.
+    pub instance: InstanceId,
+    /// Stage that it gets.
+    pub stage: EngineStage,
+    /// Prefill engines wanted.
+    pub wanted: usize,
+    /// Prefill engines now.
+    pub present: usize,
+}
+
+/// Follows the demand on the two stages of one service.
+#[derive(Debug, Clone, Default)]
+pub struct StagePlanner {
+    off_since: Option<Instant>,
+    changed_at: Option<Instant>,
+}
+
+impl StagePlanner {
+    /// The change to order now, if any; `demand` is absent before any work has been seen.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        sights: &[StageSight],
+        demand: Option<StageDemand>,
+    ) -> Option<StageChange> {
+        let wanted = wanted_prefill(sights.len(), demand)?;
+        let present = sights.iter().filter(|s| s.stage == EngineStage::Prefill);
+        let present = present.count();
+        // A change under way counts as done, so that it is not ordered twice.
+        let tolerance = match demand {
+            Some(_) => (sights.len() as f64 * CHANGE_SHARE).ceil() as usize,
+            None => 1,
+        };
+        if wanted.abs_diff(present) < tolerance.max(1) {
+            self.off_since = None;
+            return None;
+        }
+        if !self.is_due(now, demand.is_some()) {
+            return None;
+        }
+        let stage = if wanted > present {
+            EngineStage::Prefill
+        } else {
+            EngineStage::Decode
+        };
+        let instance = choose_engine(sights, stage)?;
+        self.changed_at = Some(now);
+        Some(StageChange {
+            instance,
+            stage,
+            wanted,
+            present,
+        })
+    }
+
+    fn is_due(&mut self, now: Instant, seen: bool) -> bool {
+        if !seen {
+            return true;
+        }
+        let since = *self.off_since.get_or_insert(now);
+        let rested = self.changed_at.is_none_or(|at| now >= at + CHANGE_PAUSE);
+        rested && now >= since + LASTING_TIME
+    }
+}
+
+/// Prefill engines wanted among a number of engines; at least one is left for each stage.
+fn wanted_prefill(engines: usize, demand: Option<StageDemand>) -> Option<usize> {
+    if engines < 2 {
+        return None;
+    }
+    let share = match demand {
+        None => SHARE_PRIOR,
+        Some(demand) => demand_share(demand),
+    };
+    let wanted = (engines as f64 * share).round() as usize;
+    Some(wanted.clamp(1, engines - 1))
+}
+
+fn demand_share(demand: StageDemand) -> f64 {
+    let prefill = demand.prompt_tokens_per_ms / (demand.read_speed.max(0.1) * PREFILL_USE);
+    let decode = demand.streams / (demand.slots.max(1.0) * SLOT_USE);
+    let total = prefill + decode;
+    if total <= 0.0 {
+        return SHARE_PRIOR;
+    }
+    prefill / total
+}
+
+/// An idle engine of the other stage, from the data centre that has most of that stage.
+fn choose_engine(sights: &[StageSight], stage: EngineStage) -> Option<InstanceId> {
+    let mut counts: BTreeMap<&DataCentre, usize> = BTreeMap::new();
+    for sight in sights.iter().filter(|sight| sight.stage != stage) {
+        *counts.entry(&sight.centre).or_default() += 1;
+    }
+    let fitting = sights
+        .iter()
+        .filter(|sight| sight.stage != stage && !sight.is_changing);
+    let best = fitting.min_by_key(|sight| {
+        let count = counts.get(&sight.centre).copied().unwrap_or_default();
+        (std::cmp::Reverse(count), sight.requests, &sight.instance)
+    });
+    best.map(|sight| sight.instance.clone())
+}
