--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -29,6 +29,9 @@
 /// Share of a part that the engine of highest weight for it is thought to keep, as other entries
 /// send it there too.
 const AGREED_SHARE: f64 = 0.8;
+/// Score of reading a shared part again that another engine keeps, in milliseconds for each thousand
+/// tokens: engines' time that other prompts wait for.
+const REREAD_MS: f64 = 60.0;
 /// Score of each stream that a decode engine runs, in milliseconds.
 const STREAM_MS: f64 = 3.0;
 /// Score of a full KV memory, in milliseconds.
@@ -152,10 +155,11 @@
         let uncached = chain.tokens().saturating_sub(cached);
         let wait = view.total().prompt_tokens as f64 / speed.prefill;
         let read = f64::from(uncached) / speed.prefill;
+        let reread = f64::from(uncached.saturating_sub(own_tokens(chain))) / 1_000.0 * REREAD_MS;
         let failures = view.health.failure_share() * FAILURE_MS;
         Candidate {
             view,
-            score: wait + read + failures + hop_ms(view, need.centre),
+            score: wait + read + reread + failures + hop_ms(view, need.centre),
             wait,
             uncached,
         }
@@ -187,6 +191,8 @@
         };
         let wait = total.prompt_tokens as f64 / speed.inline;
         let read = f64::from(uncached) / speed.inline;
+        let shared = uncached.saturating_sub(own_tokens(chain));
+        let reread = f64::from(shared) / 1_000.0 * REREAD_MS;
         let crowd = f64::from(total.requests) * STREAM_MS;
         let memory = total.memory_tokens as f64 / speed.memory_tokens.max(1) as f64;
         let moved = match source {
@@ -199,7 +205,7 @@
         let hop = hop_ms(view, need.centre);
         Candidate {
             view,
-            score: wait + read + crowd + memory * MEMORY_MS + moved + failures + hop,
+            score: wait + read + reread + crowd + memory * MEMORY_MS + moved + failures + hop,
             wait,
             uncached,
         }
