gateway: engines out of reach cost no send, silent ones get no new work

Cause: a prompt that was read waited seconds for connections to dark decode engines, its KV cache was given up, and each try was taken from the budget. Streams of dark engines hung until their callers left. Change: a connection that fails is no send; the KV cache is offered elsewhere; an engine with work and no sign of life for 0.6 s gets no new work and its resumable streams go on elsewhere. A stopping gateway keeps accepting until its end. The store is watched for 6 s on probed connections.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -85,6 +85,8 @@
     pub(crate) runs: u32,
     /// Sends that backend servers refused without running them.
     pub(crate) refused: u32,
+    /// Backend servers that were out of reach.
+    pub(crate) unreached: u32,
     /// Sends that only had the prompt read.
     pub(crate) reads: u32,
     /// Backend servers that are not tried again.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -51,7 +51,7 @@
 
 /// Time during which a stopping gateway takes what still arrives: the balancer asks once a second
 /// and turns away after two answers.
-const LEAVE_TIME: Duration = Duration::from_millis(2_800);
+const LEAVE_TIME: Duration = Duration::from_millis(2_300);
 /// Time before SIGKILL by which the gateway ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
 /// Time for which a connection of a caller may be idle, as long as the configuration is not known.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,8 +24,8 @@
 
 use crate::shared::GatewayShared;
 
-/// Wait of one watch; also bounds how long a watch that fell silent goes unnoticed.
-const WATCH_TIME: Duration = Duration::from_millis(1_000);
+/// Wait of one watch. Probes of the connection show sooner that it has fallen silent.
+const WATCH_TIME: Duration = Duration::from_millis(6_000);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a disturbance of the store for which removed entries may come back.
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -29,8 +29,8 @@
     SendTrouble, //
 };
 use crate::plain::{
-    log_repeat,
-    may_repeat, //
+    UNREACHED_LIMIT,
+    log_repeat, //
 };
 use crate::pump::start_pump;
 use crate::reply::OwnAnswer;
@@ -97,42 +97,55 @@
     sent: &mut SendCount,
     resume_after: Option<u64>,
 ) -> Result<OpenRun, OwnAnswer> {
+    let mut handle = None;
     loop {
-        let handle = read_apart(call, sent).await;
+        if handle.is_none() {
+            handle = read_apart(call, sent).await;
+        }
         let Some(engine) = choose_decode(call, sent, handle.as_ref()) else {
             return Err(give_up(sent, "no_engine"));
         };
+        let instance = engine.placement.instance.clone();
         if !sent.is_first() && !call.shared.spend_repeat(&call.service) {
             return Err(give_up(sent, "repeats_spent"));
         }
-        let instance = engine.placement.instance.clone();
-        match send_decode(call, engine, handle, resume_after).await {
+        let trouble = match send_decode(call, engine, &mut handle, resume_after).await {
             Ok(run) => {
                 sent.runs += 1;
                 sent.avoid.insert(instance);
                 return Ok(run);
             }
-            Err(SendTrouble::NotRun(reason)) => {
-                sent.refused += 1;
-                sent.avoid.insert(instance.clone());
-                if sent.refused >= REFUSAL_LIMIT {
-                    return Err(give_up(sent, reason));
-                }
-                log_repeat(call, &instance, reason);
-            }
-            Err(SendTrouble::Unknown(reason)) => {
-                sent.runs += 1;
-                sent.avoid.insert(instance.clone());
-                if !may_repeat(call, sent, reason) {
-                    return Err(OwnAnswer::Unknown(reason));
-                }
-                log_repeat(call, &instance, reason);
-            }
-            Err(SendTrouble::OutOfTime) => return Err(OwnAnswer::OutOfTime),
-        }
+            Err(trouble) => trouble,
+        };
+        sent.avoid.insert(instance.clone());
+        note_trouble(call, sent, &trouble)?;
+        log_repeat(call, &instance, trouble.as_str());
     }
 }
 
+/// Counts a send that failed; an error where the request may not be sent again.
+fn note_trouble(
+    call: &CallContext,
+    sent: &mut SendCount,
+    trouble: &SendTrouble,
+) -> Result<(), OwnAnswer> {
+    match trouble {
+        SendTrouble::Unreached => sent.unreached += 1,
+        SendTrouble::NotRun(_) => sent.refused += 1,
+        SendTrouble::Unknown(_) => sent.runs += 1,
+        SendTrouble::OutOfTime => return Err(OwnAnswer::OutOfTime),
+    }
+    let reason = trouble.as_str();
+    if sent.refused >= REFUSAL_LIMIT || sent.unreached >= UNREACHED_LIMIT {
+        return Err(give_up(sent, reason));
+    }
+    let may_run = call.rule.kind.is_repeatable() && sent.runs < call.rule.max_attempts;
+    if sent.runs > 0 && !may_run {
+        return Err(OwnAnswer::Unknown(reason));
+    }
+    Ok(())
+}
+
 fn give_up(sent: &SendCount, reason: &'static str) -> OwnAnswer {
     if sent.runs > 0 {
         return OwnAnswer::Unknown(reason);
@@ -142,16 +155,21 @@
 
 /// Has a prefill engine read the prompt, where that pays.
 async fn read_apart(call: &Arc<CallContext>, sent: &mut SendCount) -> Option<HandleGuard> {
-    while sent.reads < READ_LIMIT {
+    while sent.reads < READ_LIMIT && sent.unreached < UNREACHED_LIMIT {
         let engine = choose_prefill(call, sent)?;
         if sent.reads > 0 && !call.shared.spend_repeat(&call.service) {
             return None;
         }
-        sent.reads += 1;
         let instance = engine.placement.instance.clone();
         match send_prefill(call, engine).await {
-            Ok(handle) => return Some(handle),
+            Ok(handle) => {
+                sent.reads += 1;
+                return Some(handle);
+            }
             Err(trouble) => {
+                // What has not arrived is no read.
+                sent.reads += u32::from(trouble != SendTrouble::Unreached);
+                sent.unreached += u32::from(trouble == SendTrouble::Unreached);
                 sent.avoid.insert(instance.clone());
                 log_repeat(call, &instance, trouble.as_str());
             }
@@ -276,7 +294,7 @@
 async fn send_decode(
     call: &Arc<CallContext>,
     engine: ChosenEngine,
-    mut handle: Option<HandleGuard>,
+    handle: &mut Option<HandleGuard>,
     resume_after: Option<u64>,
 ) -> Result<OpenRun, SendTrouble> {
     let instance = &engine.placement.instance;
@@ -289,15 +307,15 @@
     let open = OpenGuard::new(&call.shared, instance, work);
     let mut facts = call.send_facts(instance);
     facts.resume_after = resume_after;
-    if let Some(handle) = &mut handle {
+    if let Some(handle) = handle.as_mut() {
         handle.taken = true;
         facts.source = Some((handle.address, handle.handle.clone()));
     }
     let answer = open_send(call, engine.address, &facts).await;
-    if matches!(answer, Err(SendTrouble::NotRun(_)))
-        && let Some(handle) = &mut handle
-    {
-        handle.taken = false;
+    match (&answer, handle.as_mut()) {
+        // Only an engine out of reach has surely left the KV cache where it is.
+        (Err(SendTrouble::Unreached), Some(handle)) => handle.taken = false,
+        _ => *handle = None,
     }
     Ok(OpenRun {
         answer: answer?,
--- a/crates/gateway/src/open_work.rs
+++ b/crates/gateway/src/open_work.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use policy::OpenWork;
+use tokio::time::Instant;
 use units::InstanceId;
 
 use crate::shared::GatewayShared;
@@ -18,7 +19,7 @@
     /// Counts work at a backend server.
     pub(crate) fn new(shared: &Arc<GatewayShared>, instance: &InstanceId, work: OpenWork) -> Self {
         if let Some(view) = shared.lock().fleet.get_mut(instance) {
-            view.open.add(work);
+            view.begin(Instant::now(), work);
         }
         Self {
             shared: shared.clone(),
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -22,6 +22,8 @@
 /// How a send ended without a usable answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum SendTrouble {
+    /// No connection came about; nothing has arrived there.
+    Unreached,
     /// The request has not run there and will not.
     NotRun(&'static str),
     /// It may have run.
@@ -34,6 +36,7 @@
     /// The trouble's name in logs and metrics.
     pub(crate) fn as_str(&self) -> &'static str {
         match self {
+            Self::Unreached => "unreached",
             Self::NotRun(reason) | Self::Unknown(reason) => reason,
             Self::OutOfTime => "out_of_time",
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -34,6 +34,9 @@
 /// Sends of one request that backend servers may refuse before it is given up.
 const REFUSAL_LIMIT: u32 = 3;
 
+/// Backend servers that may be out of reach before a request is given up.
+pub(crate) const UNREACHED_LIMIT: u32 = 3;
+
 /// Serves a request whose answer is taken whole.
 pub(crate) async fn serve_plain(call: &CallContext) -> Result<Response<ReplyBody>, OwnAnswer> {
     let mut sent = SendCount::default();
@@ -65,6 +68,13 @@
                 GatewayMetrics::observe(&call.shared.metrics.plain, taken);
                 return finish(answer);
             }
+            Err(SendTrouble::Unreached) => {
+                sent.unreached += 1;
+                if sent.unreached >= UNREACHED_LIMIT {
+                    return Err(not_run(&sent, "unreached"));
+                }
+                log_repeat(call, &instance, "unreached");
+            }
             Err(SendTrouble::NotRun(reason)) => {
                 sent.refused += 1;
                 let again = sent.refused < REFUSAL_LIMIT && sent.runs == 0;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -1,6 +1,7 @@
 //! Passes the events of a stream on, over the runs that produce it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -14,6 +15,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{
     Instant,
+    sleep,
     sleep_until, //
 };
 use units::InstanceId;
@@ -40,6 +42,10 @@
 /// Parts that wait for a slow caller.
 const PART_DEPTH: usize = 8;
 
+/// Time without an event after which it is looked at whether the engine lives, and from then on the
+/// pause between looks.
+const SILENCE_PAUSE: Duration = Duration::from_millis(400);
+
 /// How one run of a stream ended.
 enum RunEnd {
     Whole,
@@ -159,6 +165,16 @@
         .decide(if failed { record.failure() } else { record });
 }
 
+/// Waits until an engine shows no sign of life on any connection.
+async fn until_silent(call: &CallContext, instance: &InstanceId) {
+    loop {
+        sleep(SILENCE_PAUSE).await;
+        if call.shared.is_silent(instance) {
+            return;
+        }
+    }
+}
+
 async fn pass_events(
     call: &CallContext,
     run: OpenRun,
@@ -166,13 +182,18 @@
     parts: &Sender<ReplyPart>,
 ) -> RunEnd {
     let OpenRun {
-        answer, mut open, ..
+        answer,
+        mut open,
+        engine,
     } = run;
+    let instance = engine.placement.instance;
     let (_, mut body) = answer.response.into_parts();
     let mut started = false;
+    let can_resume = call.rule.kind.is_repeatable();
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
+            () = until_silent(call, &instance), if can_resume => return RunEnd::Broken("silent"),
             () = parts.closed() => return RunEnd::CallerGone,
             () = sleep_until(call.deadline) => return RunEnd::OutOfTime,
         };
@@ -185,6 +206,7 @@
             Some(Err(_)) => return RunEnd::Broken("stream_cut"),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
+        call.shared.note_heard(&instance, true);
         if !started {
             started = true;
             open.prompt_read();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -38,7 +38,7 @@
 };
 
 /// Time for a connection to come about.
-const CONNECT_TIME: Duration = Duration::from_millis(600);
+const CONNECT_TIME: Duration = Duration::from_millis(300);
 /// Time for which an idle connection is kept when the backend server does not say how long.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 /// Time before the end that the backend server states at which an idle connection is left alone.
@@ -54,6 +54,7 @@
 ) -> Result<OpenAnswer, SendTrouble> {
     let result = timeout_at(call.deadline, open_untimed(call, address, facts)).await;
     let result = result.unwrap_or(Err(SendTrouble::OutOfTime));
+    call.shared.note_heard(&facts.instance, result.is_ok());
     note_send(call, &facts.instance, &result);
     result
 }
@@ -64,7 +65,7 @@
             ("error_status", Some(SendOutcome::Error))
         }
         Ok(_) => ("answered", Some(SendOutcome::Served)),
-        Err(SendTrouble::NotRun(reason @ "connect_failed")) => (*reason, Some(SendOutcome::Broken)),
+        Err(trouble @ SendTrouble::Unreached) => (trouble.as_str(), Some(SendOutcome::Unreached)),
         Err(SendTrouble::NotRun(reason)) => (*reason, Some(SendOutcome::Refused)),
         Err(SendTrouble::Unknown(reason)) => (*reason, Some(SendOutcome::Broken)),
         Err(SendTrouble::OutOfTime) => ("out_of_time", None),
@@ -95,7 +96,7 @@
             None => {
                 call.shared.metrics.channels.inc();
                 let opened = OpenChannel::connect(address, CONNECT_TIME).await;
-                opened.map_err(|_| SendTrouble::NotRun("connect_failed"))?
+                opened.map_err(|_| SendTrouble::Unreached)?
             }
         };
         let request = build_request(call, address, facts)?;
@@ -103,7 +104,7 @@
             Ok(response) => return judge_head(call, response, channel),
             // A kept connection that had gone away says nothing of the backend server.
             Err(SendFailure::Unsent(_)) if channel.is_reused => {}
-            Err(SendFailure::Unsent(_)) => return Err(SendTrouble::NotRun("connect_failed")),
+            Err(SendFailure::Unsent(_)) => return Err(SendTrouble::Unreached),
             Err(SendFailure::Broken(_)) => return Err(SendTrouble::Unknown("connection_broke")),
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,7 +23,10 @@
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
-use units::ServiceName;
+use units::{
+    InstanceId,
+    ServiceName, //
+};
 use web::ChannelPool;
 
 use crate::members::PLANNER_LIFETIME;
@@ -113,6 +116,20 @@
         *self.phase.borrow() != LifePhase::Serving
     }
 
+    /// Notes a sign of life of a backend server.
+    pub(crate) fn note_heard(&self, instance: &InstanceId, heard: bool) {
+        if let (true, Some(view)) = (heard, self.lock().fleet.get_mut(instance)) {
+            view.hear(Instant::now());
+        }
+    }
+
+    /// Whether a backend server that has work shows no sign of life.
+    pub(crate) fn is_silent(&self, instance: &InstanceId) -> bool {
+        let state = self.lock();
+        let view = state.fleet.get(instance);
+        view.is_some_and(|view| view.is_silent(Instant::now()))
+    }
+
     fn terms(&self) -> RepeatTerms {
         RepeatTerms {
             ratio: self.settings.repeat_ratio,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -24,6 +24,13 @@
 /// Weight of one answer in the mean time of answers.
 const TIME_WEIGHT: f64 = 0.1;
 
+/// Time without any sign of life after which a backend server with work counts as silent.
+const SILENCE_TIME: Duration = Duration::from_millis(600);
+/// Mean answer times without a sign of life that are nothing unusual.
+const SILENCE_ANSWERS: f64 = 8.0;
+/// Longest time of reading one prompt, during which a prefill engine says nothing.
+const READ_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// Work that this entry has given to a backend server and that has not ended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OpenWork {
@@ -99,6 +106,7 @@
     pub(crate) parts: PartMemory,
     answer_seconds: Option<f64>,
     missing_since: Option<Instant>,
+    heard: Option<Instant>,
 }
 
 impl BackendView {
@@ -111,9 +119,39 @@
             parts: PartMemory::default(),
             answer_seconds: None,
             missing_since: None,
+            heard: None,
         }
     }
 
+    /// Counts work that is given to it.
+    pub fn begin(&mut self, now: Instant, work: OpenWork) {
+        if self.open.requests == 0 {
+            self.heard = Some(now);
+        }
+        self.open.add(work);
+    }
+
+    /// Notes a sign of life.
+    pub fn hear(&mut self, now: Instant) {
+        self.heard = Some(now);
+    }
+
+    /// Whether it has work and has shown no sign of life for longer than usual.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let Some(heard) = self.heard.filter(|_| self.open.requests > 0) else {
+            return false;
+        };
+        let usual = match self.record.stage {
+            Some(EngineStage::Prefill) => READ_SILENCE,
+            Some(EngineStage::Decode) => SILENCE_TIME,
+            None => {
+                let answer = self.answer_time().unwrap_or_default();
+                SILENCE_TIME.max(answer.mul_f64(SILENCE_ANSWERS))
+            }
+        };
+        now.saturating_duration_since(heard) > usual
+    }
+
     /// Mean time of its answers, once there were any.
     pub fn answer_time(&self) -> Option<Duration> {
         self.answer_seconds.map(Duration::from_secs_f64)
@@ -246,7 +284,7 @@
         self.views.values_mut()
     }
 
-    /// Backend servers of a service that take new work; paused ones only when all are paused.
+    /// Backend servers of a service that take new work; paused and silent ones only when all are.
     pub fn usable<'a>(
         &'a self,
         now: Instant,
@@ -257,7 +295,8 @@
             view.record.service == *service && view.record.stage == stage && view.is_open()
         };
         let open: Vec<&BackendView> = self.views.values().filter(fits).collect();
-        let awake = open.iter().filter(|view| !view.health.is_paused(now));
+        let is_awake = |view: &&&BackendView| !view.health.is_paused(now) && !view.is_silent(now);
+        let awake = open.iter().filter(is_awake);
         let awake: Vec<&BackendView> = awake.copied().collect();
         if awake.is_empty() { open } else { awake }
     }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -22,7 +22,9 @@
     Error,
     /// It refused without running the request.
     Refused,
-    /// The connection failed, broke or carried bytes that are no answer.
+    /// No connection came about.
+    Unreached,
+    /// The connection broke or carried bytes that are no answer.
     Broken,
     /// No answer came within the time expected.
     Silent,
@@ -48,6 +50,10 @@
                 self.paused_until = None;
                 false
             }
+            SendOutcome::Unreached => {
+                self.streak = self.streak.max(STREAK_LIMIT - 1);
+                self.pause(now)
+            }
             SendOutcome::Broken | SendOutcome::Silent => self.pause(now),
             SendOutcome::Error | SendOutcome::Refused => false,
         }
--- a/crates/web/src/channel.rs
+++ b/crates/web/src/channel.rs
@@ -31,11 +31,11 @@
 };
 
 /// Quiet time after which a connection is probed, and the pause between probes: a peer that has
-/// vanished is noticed within about three seconds.
+/// vanished is noticed within about two and a half seconds.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 const PROBE_COUNT: u32 = 2;
 /// Time for which sent bytes may stay unacknowledged.
-const ACK_TIME: Duration = Duration::from_secs(3);
+const ACK_TIME: Duration = Duration::from_millis(1_500);
 /// Idle connections kept for one address.
 const IDLE_LIMIT: usize = 64;
 
@@ -99,7 +99,8 @@
     }
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the options by which a peer that has vanished is noticed.
+pub(crate) fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -20,6 +20,7 @@
 
 use crate::WebError;
 use crate::body::read_body;
+use crate::channel::set_options;
 use crate::error::{
     BuildSnafu,
     ConnectSnafu,
@@ -90,8 +91,7 @@
     let address = call.address;
     let stream = TcpStream::connect(address).await;
     let stream = stream.context(ConnectSnafu { address })?;
-    // A failure to set this option costs time only.
-    let _ = stream.set_nodelay(true);
+    set_options(&stream).context(ConnectSnafu { address })?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.context(ExchangeSnafu)?;
     tokio::spawn(connection);
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -42,7 +42,8 @@
     pub header_time: Duration,
 }
 
-/// Serves until the stop signal turns true, then ends what runs and returns.
+/// Serves until the stop signal turns true, then returns once no connection is left. Connections
+/// that still arrive meanwhile get one answer each.
 pub async fn serve<F, R>(
     listener: TcpListener,
     limits: ServerLimits,
@@ -55,10 +56,18 @@
     let seats = Arc::new(Semaphore::new(limits.connections));
     // Dropped with this future, which then ends every connection.
     let mut serving_set = JoinSet::new();
+    let mut is_stopping = false;
     loop {
         while serving_set.try_join_next().is_some() {}
+        if is_stopping && serving_set.is_empty() {
+            return;
+        }
         let accepted = tokio::select! {
-            _ = stop.wait_for(|stopping| *stopping) => break,
+            _ = stop.wait_for(|stopping| *stopping), if !is_stopping => {
+                is_stopping = true;
+                continue;
+            }
+            _ = serving_set.join_next(), if is_stopping => continue,
             accepted = accept_seated(&listener, &seats) => accepted,
         };
         let Some((stream, seat)) = accepted else {
@@ -71,8 +80,6 @@
             drop(seat);
         });
     }
-    drop(listener);
-    while serving_set.join_next().await.is_some() {}
 }
 
 async fn accept_seated(
