gateway: prompts beyond 250 tokens are read apart

Cause: streams were late by pauses, not by their start: each prompt that a decode engine reads itself holds up nine tokens of every stream there.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -40,7 +40,7 @@
 };
 
 /// Prompt tokens to read up to which a decode engine reads the prompt itself.
-const INLINE_TOKENS: u32 = 1_000;
+const INLINE_TOKENS: u32 = 250;
 /// Sends of one request that engines may refuse before it is given up.
 const REFUSAL_LIMIT: u32 = 3;
 /// Reads of a prompt apart before a decode engine reads it itself.
