gateway: exchange load between gateways, keep out requests that crash engines

Cause: each gateway knew its own share of an engine's load only, and a request that crashes engines was sent on by every gateway anew.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,6 +17,7 @@
     LogSink, //
 };
 use snafu::ResultExt;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{
@@ -32,6 +33,10 @@
 
 use crate::GatewayError;
 use crate::error::ListenSnafu;
+use crate::exchange::{
+    receive_shares,
+    send_shares, //
+};
 use crate::follow::{
     expire_backends,
     follow_backends,
@@ -107,6 +112,9 @@
         let (_, ready_server, ready_stop) = serve_on(&shared, readiness, answer_readiness)?;
         let (_, metric_server, metric_stop) = serve_on(&shared, metrics, answer_metrics)?;
         let (address, server, server_stop) = serve_on(&shared, listen, serve_request)?;
+        let exchange = shared.settings.exchange;
+        let socket = UdpSocket::bind(exchange).await;
+        let socket = Arc::new(socket.context(ListenSnafu { address: exchange })?);
         // Their stop signals live as long as the tasks that hold them.
         let keep_alive = tokio::spawn(async move {
             let _stops = (ready_stop, metric_stop);
@@ -121,6 +129,8 @@
             tokio::spawn(expire_backends(shared.clone())),
             tokio::spawn(follow_members(shared.clone())),
             tokio::spawn(plan_stages(shared.clone())),
+            tokio::spawn(send_shares(shared.clone(), socket.clone())),
+            tokio::spawn(receive_shares(shared.clone(), socket)),
         ];
         let record = DecisionRecord::new(DecisionKind::Process, "started").chosen(address);
         shared.log.decide(record);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 mod call;
 mod daemon;
 mod error;
+mod exchange;
 mod follow;
 mod generation;
 mod handle;
@@ -19,6 +20,7 @@
 mod serve;
 mod shared;
 mod stages;
+mod suspicion;
 
 pub use daemon::GatewayDaemon;
 pub use error::GatewayError;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,5 +1,7 @@
 //! Membership of the gateways and the planner's lease, by leased keys in the store.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +23,10 @@
     Instant,
     sleep, //
 };
-use units::EpochNumber;
+use units::{
+    EpochNumber,
+    InstanceId, //
+};
 
 use crate::follow::counted;
 use crate::shared::GatewayShared;
@@ -115,9 +120,14 @@
 }
 
 fn note_members(shared: &GatewayShared, items: &[KeyItem], revision: u64) {
-    let members = items.iter().filter(|i| i.key.starts_with(MEMBER_PREFIX));
-    let count = members.count();
-    let before = std::mem::replace(&mut shared.lock().entries, count);
+    let read = |item: &KeyItem| {
+        let name = item.key.strip_prefix(MEMBER_PREFIX)?;
+        let address = std::str::from_utf8(&item.value).ok()?;
+        Some((name.parse().ok()?, address.parse().ok()?))
+    };
+    let members: BTreeMap<InstanceId, SocketAddr> = items.iter().filter_map(read).collect();
+    let count = members.len();
+    let before = std::mem::replace(&mut shared.lock().members, members).len();
     if before != count {
         let record = DecisionRecord::new(DecisionKind::Member, "count of gateways changed");
         let record = record.input("before", before).input("now", count);
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -33,6 +33,8 @@
     Unavailable(&'static str),
     /// It has not run; it would miss its target.
     Overloaded(Duration),
+    /// It has not run; requests like it have crashed backend servers.
+    KeptOut,
     /// It may have run.
     Unknown(&'static str),
     /// Time ran out, and it may have run.
@@ -41,6 +43,8 @@
 
 /// Pause after which a request that no backend server took may come back.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after which a request that crashes backend servers may come back.
+const KEPT_OUT_PAUSE: Duration = Duration::from_secs(60);
 /// Pause while no configuration is known.
 const CONFIG_PAUSE: Duration = Duration::from_millis(500);
 
@@ -54,6 +58,7 @@
             Self::BadBody => "bad_body",
             Self::Unavailable(reason) | Self::Unknown(reason) => reason,
             Self::Overloaded(_) => "overloaded",
+            Self::KeptOut => "kept_out",
             Self::OutOfTime => "out_of_time",
         }
     }
@@ -64,13 +69,14 @@
             Self::NotConfigured => Some(CONFIG_PAUSE),
             Self::Unavailable(_) => Some(UNAVAILABLE_PAUSE),
             Self::Overloaded(pause) => Some(pause),
+            Self::KeptOut => Some(KEPT_OUT_PAUSE),
             _ => None,
         }
     }
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NotConfigured | Self::Unavailable(_) | Self::Overloaded(_) => {
+            Self::NotConfigured | Self::Unavailable(_) | Self::Overloaded(_) | Self::KeptOut => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -36,6 +36,10 @@
     SendTrouble,
     WholeAnswer, //
 };
+use crate::suspicion::{
+    note_answer,
+    note_crash, //
+};
 
 /// Time for a connection to come about.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -55,6 +59,11 @@
     let result = timeout_at(call.deadline, open_untimed(call, address, facts)).await;
     let result = result.unwrap_or(Err(SendTrouble::OutOfTime));
     call.shared.note_heard(&facts.instance, result.is_ok());
+    match &result {
+        Err(SendTrouble::Unknown("connection_broke")) => note_crash(call, &facts.instance),
+        Ok(answer) if answer.response.status().is_success() => note_answer(call),
+        _ => {}
+    }
     note_send(call, &facts.instance, &result);
     result
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -38,6 +38,7 @@
     mark_leaving, //
 };
 use crate::shared::GatewayShared;
+use crate::suspicion::is_kept_out;
 
 /// Time that an answer of the gateway's own needs to be out by the caller's deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
@@ -90,6 +91,9 @@
         deadline,
         rule,
     });
+    if is_kept_out(&call) {
+        return Err(OwnAnswer::KeptOut);
+    }
     let serving = async {
         if call.rule.kind.is_stream() {
             serve_generation(call.clone()).await
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,10 @@
 //! What the tasks of one gateway share.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+use std::net::SocketAddr;
 use std::sync::{
     Arc,
     Mutex,
@@ -13,17 +17,21 @@
 use platform::KeyStore;
 use policy::{
     BackendFleet,
+    CrashId,
     EngineSpeed,
     OfferedRate,
     OrderTurn,
+    PeerLoads,
     ReadSpeed,
     RepeatBudget,
     RepeatTerms,
-    RouteTable, //
+    RouteTable,
+    SuspectRegister, //
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
 use units::{
+    FingerprintId,
     InstanceId,
     ServiceName, //
 };
@@ -35,6 +43,10 @@
 /// Time for one call of the store.
 const STORE_CALL_TIME: Duration = Duration::from_millis(1_200);
 
+/// Crashes after which a request is kept out. Others that wait at the same engine break with it, so
+/// that one or two say little.
+const CRASH_LIMIT: usize = 3;
+
 /// Where a gateway stands between start and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LifePhase {
@@ -62,8 +74,15 @@
     pub(crate) fleet: BackendFleet,
     pub(crate) budgets: BTreeMap<ServiceName, RepeatBudget>,
     pub(crate) speeds: BTreeMap<ServiceName, SpeedSight>,
-    /// Gateways that share the budgets of further sends.
-    pub(crate) entries: usize,
+    /// Gateways with their addresses for messages, this one included; they share the budgets of
+    /// further sends.
+    pub(crate) members: BTreeMap<InstanceId, SocketAddr>,
+    /// Load of the other gateways.
+    pub(crate) peers: PeerLoads,
+    /// Requests that ran where backend servers crashed.
+    pub(crate) suspects: SuspectRegister,
+    /// Latest crashes that this gateway has seen itself.
+    pub(crate) own_crashes: VecDeque<(FingerprintId, CrashId)>,
     /// This gateway's turn to give orders.
     pub(crate) turn: OrderTurn,
     /// End of the latest disturbance of the store that this gateway has seen.
@@ -95,7 +114,10 @@
                 fleet: BackendFleet::default(),
                 budgets: BTreeMap::new(),
                 speeds: BTreeMap::new(),
-                entries: 0,
+                members: BTreeMap::new(),
+                peers: PeerLoads::default(),
+                suspects: SuspectRegister::with_limit(CRASH_LIMIT),
+                own_crashes: VecDeque::new(),
                 turn: OrderTurn::new(PLANNER_LIFETIME, settle),
                 store_disturbed: None,
             }),
@@ -151,7 +173,7 @@
     /// Takes a further send to a service from the budget.
     pub(crate) fn spend_repeat(&self, service: &ServiceName) -> bool {
         let mut state = self.lock();
-        let entries = state.entries;
+        let entries = state.members.len();
         let budget = state.budgets.get_mut(service);
         let spent = budget.is_some_and(|budget| budget.spend(Instant::now(), entries));
         if spent {
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -194,9 +194,9 @@
         let streams: u32 = decode.map(|view| view.total().requests).sum();
         let spec = self.table.as_ref()?.services.get(service)?;
         Some(StageDemand {
-            prompt_tokens_per_ms: sight.offered.per_ms(now) * self.entries.max(1) as f64,
+            prompt_tokens_per_ms: sight.offered.per_ms(now) * self.members.len().max(1) as f64,
             read_speed: sight.prefill.tokens_per_ms(),
-            streams: f64::from(streams) * self.entries.max(1) as f64,
+            streams: f64::from(streams),
             slots: f64::from(spec.engine.as_ref()?.slots),
         })
     }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -40,13 +40,29 @@
 }
 
 /// Remembers which requests ran where backend servers crashed.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct SuspectRegister {
+    crash_limit: usize,
     records: BTreeMap<FingerprintId, SuspectRecord>,
     known: BTreeSet<(CrashId, FingerprintId)>,
 }
 
+impl Default for SuspectRegister {
+    fn default() -> Self {
+        Self::with_limit(CRASH_LIMIT)
+    }
+}
+
 impl SuspectRegister {
+    /// A register that keeps a request out after this many crashes.
+    pub fn with_limit(crash_limit: usize) -> Self {
+        Self {
+            crash_limit,
+            records: BTreeMap::new(),
+            known: BTreeSet::new(),
+        }
+    }
+
     /// Takes a crash with requests that ran there; false when all of it was known already.
     pub fn crash(&mut self, now: Instant, crash: CrashId, ran: &[FingerprintId]) -> bool {
         self.forget(now);
@@ -78,7 +94,7 @@
             return SuspectVerdict::Free;
         };
         let age = now.saturating_duration_since(record.last);
-        if record.crashes.len() >= CRASH_LIMIT && age < QUARANTINE {
+        if record.crashes.len() >= self.crash_limit && age < QUARANTINE {
             return SuspectVerdict::Quarantined(QUARANTINE - age);
         }
         if age < SUSPICION {
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod call;
 mod config;
+mod exchange;
 mod load;
 mod order;
 
@@ -20,6 +21,9 @@
 pub use config::ConfigDocument;
 pub use config::ConfigPull;
 pub use config::SuspectNotice;
+pub use exchange::LoadShare;
+pub use exchange::ShareCrash;
+pub use exchange::ShareLoad;
 pub use load::BackendStatus;
 pub use load::Heartbeat;
 pub use load::LoadStatus;
