gateway, policy: pause engines that refuse, learn speeds as quantiles, plan stages from expected tokens

Ruled out: the reading speed from all samples (200 to 1,500 tokens a millisecond), and a line fit (13 to 42): both mix in queues of other gateways. Change: a refusal pauses its engine; the KV cache is offered once more; the speed is a low quantile; generation is planned from callers' hints and learned steps; reading a shared part again weighs 200 ms a thousand tokens.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -53,6 +53,13 @@
         String::from_utf8_lossy(&self.facts.id).into_owned()
     }
 
+    /// Tokens that are likely to be generated.
+    pub(crate) fn output_tokens(&self) -> u32 {
+        let limit = self.facts.output_limit.0;
+        let guess = self.facts.output_guess.map_or(limit, |guess| guess.0);
+        guess.min(limit.max(1))
+    }
+
     /// Time left until the caller or the route gives up.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -88,6 +88,7 @@
     let tokens = place.map_or(chain.tokens(), |place| place.uncached);
     let sight = state.speeds.entry(call.service.clone()).or_default();
     sight.offered.add(now, tokens.into());
+    sight.expected.add(now, call.output_tokens().into());
 }
 
 /// Has the prompt read where that is soonest and opens the stream, with further tries as far as
@@ -277,10 +278,9 @@
     };
     let mut state = call.shared.lock();
     let sight = state.speeds.entry(call.service.clone()).or_default();
-    let tokens = u32::try_from(ahead).unwrap_or(u32::MAX);
-    sight
-        .prefill
-        .note(tokens.saturating_add(engine.placement.uncached), taken);
+    if ahead == 0 {
+        sight.prefill.note(engine.placement.uncached, taken);
+    }
     drop(state);
     Ok(HandleGuard {
         shared: call.shared.clone(),
@@ -288,6 +288,7 @@
         centre: engine.centre,
         handle: reply.handle,
         taken: false,
+        refused: false,
     })
 }
 
@@ -298,7 +299,7 @@
     resume_after: Option<u64>,
 ) -> Result<OpenRun, SendTrouble> {
     let instance = &engine.placement.instance;
-    let output = call.facts.output_guess.unwrap_or(call.facts.output_limit).0;
+    let output = call.output_tokens();
     let work = OpenWork {
         requests: 1,
         prompt_tokens: engine.placement.uncached.into(),
@@ -313,8 +314,13 @@
     }
     let answer = open_send(call, engine.address, &facts).await;
     match (&answer, handle.as_mut()) {
-        // Only an engine out of reach has surely left the KV cache where it is.
         (Err(SendTrouble::Unreached), Some(handle)) => handle.taken = false,
+        // An engine that is full or changes its stage has left the KV cache where it is; if it has
+        // not, the next one refuses too.
+        (Err(SendTrouble::NotRun(_)), Some(handle)) if !handle.refused => {
+            handle.taken = false;
+            handle.refused = true;
+        }
         _ => *handle = None,
     }
     Ok(OpenRun {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -23,6 +23,8 @@
     pub(crate) handle: String,
     /// Whether an engine has been told to take it.
     pub(crate) taken: bool,
+    /// Whether an engine that was told to take it has refused.
+    pub(crate) refused: bool,
 }
 
 impl Drop for HandleGuard {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -165,6 +165,17 @@
         .decide(if failed { record.failure() } else { record });
 }
 
+/// Learns from a whole stream how fast its engine makes tokens.
+fn note_steps(call: &CallContext, instance: &InstanceId, began: Option<Instant>) {
+    let Some(began) = began else { return };
+    let mut state = call.shared.lock();
+    let view = state.fleet.get(instance);
+    let streams = view.map_or(0, |view| view.total().requests);
+    let sight = state.speeds.entry(call.service.clone()).or_default();
+    let tokens = f64::from(call.output_tokens());
+    sight.steps.note(streams, tokens, began.elapsed());
+}
+
 /// Waits until an engine shows no sign of life on any connection.
 async fn until_silent(call: &CallContext, instance: &InstanceId) {
     loop {
@@ -188,7 +199,7 @@
     } = run;
     let instance = engine.placement.instance;
     let (_, mut body) = answer.response.into_parts();
-    let mut started = false;
+    let mut began = None;
     let can_resume = call.rule.kind.is_repeatable();
     loop {
         let frame = tokio::select! {
@@ -200,6 +211,7 @@
         let data = match frame {
             None if cursor.is_mid_event() => return RunEnd::Broken("ended_mid_event"),
             None => {
+                note_steps(call, &instance, began);
                 keep_channel(&call.shared, answer.channel, &answer.facts);
                 return RunEnd::Whole;
             }
@@ -207,8 +219,8 @@
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         call.shared.note_heard(&instance, true);
-        if !started {
-            started = true;
+        if began.is_none() {
+            began = Some(Instant::now());
             open.prompt_read();
         }
         let Ok(events) = cursor.push(&data) else {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,6 +26,7 @@
     RepeatBudget,
     RepeatTerms,
     RouteTable,
+    StepModel,
     SuspectRegister, //
 };
 use tokio::sync::watch;
@@ -65,6 +66,10 @@
     pub(crate) inline: ReadSpeed,
     /// Prompt tokens that callers ask to have read.
     pub(crate) offered: OfferedRate,
+    /// Tokens that callers expect to be generated.
+    pub(crate) expected: OfferedRate,
+    /// Speed of generation.
+    pub(crate) steps: StepModel,
 }
 
 /// State that changes.
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -17,8 +17,8 @@
     send_order, //
 };
 use policy::{
-    EngineStage,
     PendingOrders,
+    SLOT_USE,
     StageChange,
     StageDemand,
     StagePlanner,
@@ -52,6 +52,7 @@
     address: SocketAddr,
     epoch: EpochNumber,
     change: StageChange,
+    demand: Option<StageDemand>,
 }
 
 /// Plans the stages of every service's engines, until aborted.
@@ -97,6 +98,7 @@
         address: view.record.address,
         epoch,
         change,
+        demand: seen,
     })
 }
 
@@ -134,7 +136,8 @@
         .chosen(format!("{} to {}", change.instance, change.stage))
         .input("epoch", planned.epoch.0)
         .input("prefill_wanted", change.wanted)
-        .input("prefill_present", change.present);
+        .input("prefill_present", change.present)
+        .input("demand", planned.demand.map(|demand| format!("{demand:?}")));
     shared.log.decide(record);
 }
 
@@ -187,17 +190,14 @@
         if sight.offered.is_unseen() {
             return None;
         }
-        let views = self.fleet.views();
-        let decode = views.filter(|view| {
-            view.record.service == *service && view.record.stage == Some(EngineStage::Decode)
-        });
-        let streams: u32 = decode.map(|view| view.total().requests).sum();
         let spec = self.table.as_ref()?.services.get(service)?;
+        let planned = f64::from(spec.engine.as_ref()?.slots) * SLOT_USE;
+        let gateways = self.members.len().max(1) as f64;
         Some(StageDemand {
-            prompt_tokens_per_ms: sight.offered.per_ms(now) * self.members.len().max(1) as f64,
+            prompt_tokens_per_ms: sight.offered.per_ms(now) * gateways,
             read_speed: sight.prefill.tokens_per_ms(),
-            streams: f64::from(streams),
-            slots: f64::from(spec.engine.as_ref()?.slots),
+            output_tokens_per_ms: sight.expected.per_ms(now) * gateways,
+            output_speed: sight.steps.rate(planned),
         })
     }
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -50,12 +50,13 @@
                 self.paused_until = None;
                 false
             }
-            SendOutcome::Unreached => {
+            // One that refuses is full, leaves or changes its stage; the next send would be refused too.
+            SendOutcome::Unreached | SendOutcome::Refused => {
                 self.streak = self.streak.max(STREAK_LIMIT - 1);
                 self.pause(now)
             }
             SendOutcome::Broken | SendOutcome::Silent => self.pause(now),
-            SendOutcome::Error | SendOutcome::Refused => false,
+            SendOutcome::Error => false,
         }
     }
 
--- /dev/null
+++ b/crates/policy/src/line_fit.rs
@@ -0,0 +1,61 @@
+//! A straight line through samples, the latest weighing most.
+
+/// Part of what was learned that each new sample leaves.
+const SAMPLE_DECAY: f64 = 0.998;
+
+/// Weighted sums of samples `(x, y)`.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LineFit {
+    weight: f64,
+    x: f64,
+    y: f64,
+    x_squared: f64,
+    product: f64,
+}
+
+impl LineFit {
+    /// A fit that starts with some samples of one value `y` at `x`.
+    pub(crate) fn new(x: f64, y: f64, weight: f64) -> Self {
+        Self {
+            weight,
+            x: x * weight,
+            y: y * weight,
+            x_squared: x * x * weight,
+            product: x * y * weight,
+        }
+    }
+
+    /// Takes a sample.
+    pub(crate) fn note(&mut self, x: f64, y: f64) {
+        for sum in [
+            &mut self.weight,
+            &mut self.x,
+            &mut self.y,
+            &mut self.x_squared,
+            &mut self.product,
+        ] {
+            *sum *= SAMPLE_DECAY;
+        }
+        self.weight += 1.0;
+        self.x += x;
+        self.y += y;
+        self.x_squared += x * x;
+        self.product += x * y;
+    }
+
+    /// Mean of the samples' `x` and `y`.
+    pub(crate) fn mean(&self) -> (f64, f64) {
+        (self.x / self.weight, self.y / self.weight)
+    }
+
+    /// Rise of `y` with `x`, between none and a line through the origin.
+    pub(crate) fn slope(&self) -> f64 {
+        let (x, y) = self.mean();
+        let variance = self.x_squared / self.weight - x * x;
+        let covariance = self.product / self.weight - x * y;
+        if variance <= f64::EPSILON * x * x {
+            return 0.0;
+        }
+        (covariance / variance).clamp(0.0, y / x.max(f64::MIN_POSITIVE))
+    }
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -31,7 +31,7 @@
 const AGREED_SHARE: f64 = 0.8;
 /// Score of reading a shared part again that another engine keeps, in milliseconds for each thousand
 /// tokens: engines' time that other prompts wait for.
-const REREAD_MS: f64 = 120.0;
+const REREAD_MS: f64 = 200.0;
 /// Score of each stream that a decode engine runs, in milliseconds.
 const STREAM_MS: f64 = 3.0;
 /// Score of a full KV memory, in milliseconds.
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -2,46 +2,47 @@
 
 use std::time::Duration;
 
-/// Prompt tokens a millisecond before any was read.
-const SPEED_PRIOR: f64 = 20.0;
-/// Part of the estimate that is kept for each slower sample, so that it follows a lasting change.
-const SPEED_DECAY: f64 = 0.995;
-/// Weight of a faster sample.
-const SPEED_RISE: f64 = 0.3;
+/// Milliseconds a token before any was read.
+const TOKEN_PRIOR_MS: f64 = 0.03;
+/// Share of samples that are faster than the estimate. Slow ones waited behind prompts of other
+/// gateways.
+const FAST_SHARE: f64 = 0.35;
+/// Relative step of the estimate.
+const STEP: f64 = 0.04;
 /// Fewest tokens of a sample; shorter prompts measure delays rather than speed.
-const SAMPLE_TOKENS: u32 = 1_000;
+const SAMPLE_TOKENS: u32 = 1_500;
 
-/// Estimate of the reading speed of a stage, from reads that had little before them.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// Estimate of the reading speed of a stage: a low quantile of the time a token, over prompts that
+/// had none before them as far as is known.
+#[derive(Debug, Clone, Copy)]
 pub struct ReadSpeed {
-    tokens_per_ms: f64,
+    token_ms: f64,
 }
 
 impl ReadSpeed {
     /// Tokens a millisecond.
     pub fn tokens_per_ms(&self) -> f64 {
-        self.tokens_per_ms
+        1.0 / self.token_ms
     }
 
-    /// Takes a read of `tokens`, with those known to be ahead of it included.
+    /// Takes the time in which an engine has read some tokens.
     pub fn note(&mut self, tokens: u32, taken: Duration) {
-        let millis = taken.as_secs_f64() * 1_000.0;
-        if tokens < SAMPLE_TOKENS || millis <= 0.0 {
+        if tokens < SAMPLE_TOKENS {
             return;
         }
-        let sample = f64::from(tokens) / millis;
-        if sample > self.tokens_per_ms {
-            self.tokens_per_ms += SPEED_RISE * (sample - self.tokens_per_ms);
+        let sample = taken.as_secs_f64() * 1_000.0 / f64::from(tokens);
+        self.token_ms *= if sample < self.token_ms {
+            1.0 - STEP * (1.0 - FAST_SHARE)
         } else {
-            self.tokens_per_ms = (self.tokens_per_ms * SPEED_DECAY).max(sample);
-        }
+            1.0 + STEP * FAST_SHARE
+        };
     }
 }
 
 impl Default for ReadSpeed {
     fn default() -> Self {
         Self {
-            tokens_per_ms: SPEED_PRIOR,
+            token_ms: TOKEN_PRIOR_MS,
         }
     }
 }
--- a/crates/policy/src/stage_planner.rs
+++ b/crates/policy/src/stage_planner.rs
@@ -20,7 +20,7 @@
 /// Share of a prefill engine's time that is planned to be used.
 const PREFILL_USE: f64 = 0.6;
 /// Share of a decode engine's slots that is planned to be used.
-const SLOT_USE: f64 = 0.35;
+pub const SLOT_USE: f64 = 0.3;
 /// Engines by which the present split must be off, as a share of all.
 const CHANGE_SHARE: f64 = 0.1;
 
@@ -46,10 +46,10 @@
     pub prompt_tokens_per_ms: f64,
     /// Prompt tokens that an engine reads in a millisecond.
     pub read_speed: f64,
-    /// Streams that run.
-    pub streams: f64,
-    /// Streams that one engine runs at most.
-    pub slots: f64,
+    /// Tokens to be generated in a millisecond.
+    pub output_tokens_per_ms: f64,
+    /// Tokens that an engine generates in a millisecond at the use that is planned.
+    pub output_speed: f64,
 }
 
 /// A change of stage to order.
@@ -135,7 +135,7 @@
 
 fn demand_share(demand: StageDemand) -> f64 {
     let prefill = demand.prompt_tokens_per_ms / (demand.read_speed.max(0.1) * PREFILL_USE);
-    let decode = demand.streams / (demand.slots.max(1.0) * SLOT_USE);
+    let decode = demand.output_tokens_per_ms / demand.output_speed.max(0.01);
     let total = prefill + decode;
     if total <= 0.0 {
         return SHARE_PRIOR;
