--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -11,6 +11,8 @@
 
 /// Bytes that wait to be written at most; lines beyond it are dropped and counted.
 const QUEUE_BYTES: usize = 256 * 1024;
+/// Bytes of one write, unless a single line is longer.
+const WRITE_BYTES: usize = 4 * 1024;
 /// Time during which lines are gathered into one write.
 const GATHER_TIME: Duration = Duration::from_millis(50);
 
@@ -75,8 +77,30 @@
     }
 }
 
+/// Splits text into runs of whole lines that collectors take in one read.
+fn whole_lines(text: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = text;
+    std::iter::from_fn(move || {
+        if rest.is_empty() {
+            return None;
+        }
+        let window = &rest[..rest.len().min(WRITE_BYTES)];
+        let end_in = |text: &[u8]| text.iter().rposition(|byte| *byte == b'\n');
+        let next_end = || rest.iter().position(|byte| *byte == b'\n');
+        let end = end_in(window)
+            .or_else(next_end)
+            .map_or(rest.len(), |at| at + 1);
+        let (run, left) = rest.split_at(end);
+        rest = left;
+        Some(run)
+    })
+}
+
 fn write_batch(batch: &QueueState, output: &mut impl Write) -> std::io::Result<()> {
-    output.write_all(&batch.lines)?;
+    for lines in whole_lines(&batch.lines) {
+        output.write_all(lines)?;
+        output.flush()?;
+    }
     if batch.dropped > 0 {
         let count = batch.dropped;
         writeln!(
