policy: the share of prefill engines follows demand over a minute, engines follow it at once

Cause: changes chased bursts of a few seconds; each takes an engine away for longer than that, while engines that were lost were not made up for.

--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -46,6 +46,24 @@
 /// pause between looks.
 const SILENCE_PAUSE: Duration = Duration::from_millis(400);
 
+/// How evenly the events of a stream came, over all its runs.
+#[derive(Debug, Default)]
+struct StreamPace {
+    first: Option<Duration>,
+    last: Option<Duration>,
+    widest_gap: Duration,
+}
+
+impl StreamPace {
+    /// Notes events that came some time after the request.
+    fn note(&mut self, elapsed: Duration) {
+        self.first.get_or_insert(elapsed);
+        if let Some(last) = self.last.replace(elapsed) {
+            self.widest_gap = self.widest_gap.max(elapsed.saturating_sub(last));
+        }
+    }
+}
+
 /// How one run of a stream ended.
 enum RunEnd {
     Whole,
@@ -108,21 +126,22 @@
     parts: Sender<ReplyPart>,
 ) {
     let mut cursor = EventCursor::after(call.facts.last_event);
+    let mut pace = StreamPace::default();
     let mut run = first;
     loop {
         let instance = run.engine.placement.instance.clone();
-        let reason = match pass_events(&call, run, &mut cursor, &parts).await {
-            RunEnd::Whole => return log_end(&call, "stream is whole", false),
-            RunEnd::CallerGone => return log_end(&call, "caller has left", false),
+        let reason = match pass_events(&call, run, &mut cursor, &mut pace, &parts).await {
+            RunEnd::Whole => return log_end(&call, &pace, "stream is whole", false),
+            RunEnd::CallerGone => return log_end(&call, &pace, "caller has left", false),
             RunEnd::OutOfTime => {
-                log_end(&call, "out of time", true);
+                log_end(&call, &pace, "out of time", true);
                 break;
             }
             RunEnd::Broken(reason) => reason,
         };
         note_broken(&call, &instance);
         if !may_repeat_stream(&call, &sent) {
-            log_end(&call, reason, true);
+            log_end(&call, &pace, reason, true);
             break;
         }
         log_repeat(&call, &instance, reason);
@@ -130,7 +149,7 @@
         match open_run(&call, &mut sent, cursor.last()).await {
             Ok(next) if next.answer.response.status().is_success() => run = next,
             _ => {
-                log_end(&call, "cannot be resumed", true);
+                log_end(&call, &pace, "cannot be resumed", true);
                 break;
             }
         }
@@ -150,10 +169,16 @@
     call.rule.kind.is_repeatable() && sent.runs < call.rule.max_attempts
 }
 
-fn log_end(call: &CallContext, reason: &str, failed: bool) {
+fn log_end(call: &CallContext, pace: &StreamPace, reason: &str, failed: bool) {
     let taken = call.started.elapsed().as_millis() as u64;
-    let record = call.record(DecisionKind::Finish, reason);
-    let record = record.input("taken_ms", taken);
+    let record = call
+        .record(DecisionKind::Finish, reason)
+        .input("taken_ms", taken)
+        .input(
+            "first_event_ms",
+            pace.first.map(|first| first.as_millis() as u64),
+        )
+        .input("widest_gap_ms", pace.widest_gap.as_millis() as u64);
     let name = if failed { "stream_broken" } else { "stream" };
     call.shared
         .metrics
@@ -190,6 +215,7 @@
     call: &CallContext,
     run: OpenRun,
     cursor: &mut EventCursor,
+    pace: &mut StreamPace,
     parts: &Sender<ReplyPart>,
 ) -> RunEnd {
     let OpenRun {
@@ -229,6 +255,7 @@
         if events.is_empty() {
             continue;
         }
+        pace.note(call.started.elapsed());
         let passed = tokio::select! {
             passed = parts.send(Ok(events)) => passed.is_ok(),
             () = sleep_until(call.deadline) => return RunEnd::OutOfTime,
--- a/crates/policy/src/stage_planner.rs
+++ b/crates/policy/src/stage_planner.rs
@@ -12,13 +12,12 @@
 use crate::EngineStage;
 
 /// Share of engines that read prompts before any work has been seen.
-const SHARE_PRIOR: f64 = 0.56;
-/// Time that a need must last before engines change for it.
-const LASTING_TIME: Duration = Duration::from_secs(6);
-/// Least time between two changes once work is seen, since each takes an engine away.
-const CHANGE_PAUSE: Duration = Duration::from_secs(6);
+const SHARE_PRIOR: f64 = 0.58;
+/// Time over which the wanted share follows the work that callers ask for. Swings within it are
+/// borne by queues, since each change takes an engine away for seconds.
+const SHARE_TIME: Duration = Duration::from_secs(60);
 /// Share of a prefill engine's time that is planned to be used.
-const PREFILL_USE: f64 = 0.6;
+const PREFILL_USE: f64 = 0.9;
 /// Share of a decode engine's slots that is planned to be used.
 pub const SLOT_USE: f64 = 0.3;
 /// Engines by which the present split must be off, as a share of all.
@@ -66,33 +65,42 @@
 }
 
 /// Follows the demand on the two stages of one service.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct StagePlanner {
-    off_since: Option<Instant>,
-    changed_at: Option<Instant>,
+    share: f64,
+    updated: Option<Instant>,
+    /// Whether the split is off and not mended yet; it is mended in full once it is off by enough.
+    is_correcting: bool,
+}
+
+impl Default for StagePlanner {
+    fn default() -> Self {
+        Self {
+            share: SHARE_PRIOR,
+            updated: None,
+            is_correcting: false,
+        }
+    }
 }
 
 impl StagePlanner {
     /// The change to order now, if any; `demand` is absent before any work has been seen.
+    ///
+    /// The wanted share moves slowly, but engines that were lost are made up for at once.
     pub fn plan(
         &mut self,
         now: Instant,
         sights: &[StageSight],
         demand: Option<StageDemand>,
     ) -> Option<StageChange> {
-        let wanted = wanted_prefill(sights.len(), demand)?;
+        self.follow(now, demand);
+        let wanted = wanted_prefill(sights.len(), self.share)?;
         let present = sights.iter().filter(|s| s.stage == EngineStage::Prefill);
         let present = present.count();
-        // A change under way counts as done, so that it is not ordered twice.
-        let tolerance = match demand {
-            Some(_) => (sights.len() as f64 * CHANGE_SHARE).ceil() as usize,
-            None => 1,
-        };
-        if wanted.abs_diff(present) < tolerance.max(1) {
-            self.off_since = None;
-            return None;
-        }
-        if !self.is_due(now, demand.is_some()) {
+        let tolerance = (sights.len() as f64 * CHANGE_SHARE).ceil() as usize;
+        let off = wanted.abs_diff(present);
+        self.is_correcting = off >= tolerance.max(1) || (self.is_correcting && off > 0);
+        if !self.is_correcting {
             return None;
         }
         let stage = if wanted > present {
@@ -101,7 +109,6 @@
             EngineStage::Decode
         };
         let instance = choose_engine(sights, stage)?;
-        self.changed_at = Some(now);
         Some(StageChange {
             instance,
             stage,
@@ -110,37 +117,34 @@
         })
     }
 
-    fn is_due(&mut self, now: Instant, seen: bool) -> bool {
-        if !seen {
-            return true;
-        }
-        let since = *self.off_since.get_or_insert(now);
-        let rested = self.changed_at.is_none_or(|at| now >= at + CHANGE_PAUSE);
-        rested && now >= since + LASTING_TIME
+    fn follow(&mut self, now: Instant, demand: Option<StageDemand>) {
+        let elapsed = self
+            .updated
+            .replace(now)
+            .map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        let Some(asked) = demand.and_then(demand_share) else {
+            return;
+        };
+        let weight = 1.0 - (-elapsed.as_secs_f64() / SHARE_TIME.as_secs_f64()).exp();
+        self.share += weight * (asked - self.share);
     }
 }
 
 /// Prefill engines wanted among a number of engines; at least one is left for each stage.
-fn wanted_prefill(engines: usize, demand: Option<StageDemand>) -> Option<usize> {
+fn wanted_prefill(engines: usize, share: f64) -> Option<usize> {
     if engines < 2 {
         return None;
     }
-    let share = match demand {
-        None => SHARE_PRIOR,
-        Some(demand) => demand_share(demand),
-    };
     let wanted = (engines as f64 * share).round() as usize;
     Some(wanted.clamp(1, engines - 1))
 }
 
-fn demand_share(demand: StageDemand) -> f64 {
+/// Share of the engines' time that reading takes, if any work is asked for.
+fn demand_share(demand: StageDemand) -> Option<f64> {
     let prefill = demand.prompt_tokens_per_ms / (demand.read_speed.max(0.1) * PREFILL_USE);
     let decode = demand.output_tokens_per_ms / demand.output_speed.max(0.01);
     let total = prefill + decode;
-    if total <= 0.0 {
-        return SHARE_PRIOR;
-    }
-    prefill / total
+    (total > 0.0).then(|| prefill / total)
 }
 
 /// An idle engine of the other stage, from the data centre that has most of that stage.
