gateway: a leaving gateway refuses what it could not finish

Ruled out: closing the listener, which loses requests without any answer. Change: streams are taken for 2.7 s after SIGTERM, calls as long as they fit; what comes later is told that it has not run and when to come back.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{
+    Instant,
     sleep,
     timeout, //
 };
@@ -152,6 +153,7 @@
     pub async fn stop(self) {
         let record = DecisionRecord::new(DecisionKind::Process, "stopping");
         self.shared.log.decide(record);
+        self.shared.lock().left_at = Some(Instant::now());
         self.shared.phase.send_replace(LifePhase::Leaving);
         let grace = self.shared.settings.grace();
         let leave = LEAVE_TIME.min(grace / 2);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -73,6 +73,9 @@
     let rule = find_rule(&table, &head).ok_or(OwnAnswer::NoRoute)?;
     let kind = rule.kind.as_str();
     shared.metrics.requests.with_label_values(&[kind]).inc();
+    if !shared.takes(rule.kind, rule.timeout) {
+        return Err(OwnAnswer::Unavailable("leaving"));
+    }
     let deadline = started + rule.timeout.min(facts.patience.unwrap_or(rule.timeout));
     let deadline = deadline - ANSWER_MARGIN.min(deadline - started);
     let body = take_body(body, &table, deadline).await?;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,6 +17,7 @@
 use platform::KeyStore;
 use policy::{
     BackendFleet,
+    CallKind,
     CrashId,
     EngineSpeed,
     OfferedRate,
@@ -27,7 +28,8 @@
     RepeatTerms,
     RouteTable,
     StepModel,
-    SuspectRegister, //
+    SuspectRegister,
+    takes_while_leaving, //
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -90,6 +92,8 @@
     pub(crate) own_crashes: VecDeque<(FingerprintId, CrashId)>,
     /// This gateway's turn to give orders.
     pub(crate) turn: OrderTurn,
+    /// When the gateway began to leave.
+    pub(crate) left_at: Option<Instant>,
     /// End of the latest disturbance of the store that this gateway has seen.
     pub(crate) store_disturbed: Option<Instant>,
 }
@@ -123,6 +127,7 @@
                 peers: PeerLoads::default(),
                 suspects: SuspectRegister::with_limit(CRASH_LIMIT),
                 own_crashes: VecDeque::new(),
+                left_at: None,
                 turn: OrderTurn::new(PLANNER_LIFETIME, settle),
                 store_disturbed: None,
             }),
@@ -138,6 +143,14 @@
         self.pool.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Whether a request that arrives now can be answered before the gateway ends.
+    pub(crate) fn takes(&self, kind: CallKind, timeout: Duration) -> bool {
+        let Some(left_at) = self.lock().left_at else {
+            return true;
+        };
+        takes_while_leaving(left_at.elapsed(), self.settings.grace(), kind, timeout)
+    }
+
     /// Whether the gateway is on its way out.
     pub(crate) fn is_leaving(&self) -> bool {
         *self.phase.borrow() != LifePhase::Serving
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -1,7 +1,30 @@
 //! Graceful stops: no new work, then the end of what runs.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
+use crate::CallKind;
+
+/// Time for which a leaving process takes new streams; later ones would not end before it does.
+const STREAM_TAKE_TIME: Duration = Duration::from_millis(2_700);
+/// Time before the end of the grace period by which answers are out.
+const END_MARGIN: Duration = Duration::from_millis(500);
+
+/// Whether a process that began to leave `spent` ago still takes a request, given the time from its
+/// first signal to its end and the longest time of the request.
+pub fn takes_while_leaving(
+    spent: Duration,
+    grace: Duration,
+    kind: CallKind,
+    timeout: Duration,
+) -> bool {
+    if kind.is_stream() {
+        return spent < STREAM_TAKE_TIME.min(grace / 2);
+    }
+    spent + timeout + END_MARGIN < grace
+}
+
 /// Says whether new work is taken, and when a draining process may stop.
 #[derive(Debug, Clone, Default)]
 pub struct DrainGate {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -58,6 +58,7 @@
 pub use claim::body_digest;
 pub use cost::CostModel;
 pub use drain::DrainGate;
+pub use drain::takes_while_leaving;
 pub use event_cursor::EventCursor;
 pub use event_cursor::EventFault;
 pub use fleet::BackendChange;
