gateway: priority within a rank by the size of the prompt

Cause: a prompt that takes most of its target to read is late in any case, and makes those behind it late.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -53,6 +53,19 @@
         String::from_utf8_lossy(&self.facts.id).into_owned()
     }
 
+    /// Step of the priority within the rank: prompts that take most of their target to read would be
+    /// late in any case, and go after those that they would make late.
+    fn size_step(&self) -> u8 {
+        let speed = self.shared.lock().speed(&self.service).prefill;
+        let read_ms = f64::from(self.facts.chain.tokens()) / speed;
+        let target_ms = self.rule.target.as_secs_f64() * 1_000.0;
+        match read_ms / target_ms.max(1.0) {
+            share if share < 0.25 => 0,
+            share if share < 0.7 => 1,
+            _ => 2,
+        }
+    }
+
     /// Tokens that are likely to be generated.
     pub(crate) fn output_tokens(&self) -> u32 {
         let limit = self.facts.output_limit.0;
@@ -70,7 +83,7 @@
         SendFacts {
             instance: instance.clone(),
             time_left: Some(self.time_left()),
-            rank: self.rule.rank.saturating_mul(RANK_STRIDE),
+            rank: self.rule.rank.saturating_mul(RANK_STRIDE) + self.size_step(),
             prefill_only: false,
             source: None,
             resume_after: None,
