--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -23,7 +23,7 @@
 /// Score of a hop to another data centre, in milliseconds: its delay both ways and its traffic.
 const REMOTE_MS: f64 = 6.0;
 /// Score of moving a KV cache to another data centre, in milliseconds for each thousand tokens.
-const REMOTE_MOVE_MS: f64 = 8.0;
+const REMOTE_MOVE_MS: f64 = 30.0;
 /// Score of a share of failed answers, in milliseconds for all answers failing.
 const FAILURE_MS: f64 = 400.0;
 /// Share of a part that the engine of highest weight for it is thought to keep, as other entries
@@ -31,7 +31,7 @@
 const AGREED_SHARE: f64 = 0.8;
 /// Score of reading a shared part again that another engine keeps, in milliseconds for each thousand
 /// tokens: engines' time that other prompts wait for.
-const REREAD_MS: f64 = 200.0;
+const REREAD_MS: f64 = 400.0;
 /// Score of each stream that a decode engine runs, in milliseconds.
 const STREAM_MS: f64 = 3.0;
 /// Score of a full KV memory, in milliseconds.
