--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -11,7 +11,8 @@
     Placement,
     PlacementNeed,
     place_decode,
-    place_prefill, //
+    place_prefill,
+    reads_inline, //
 };
 use tokio::time::Instant;
 use units::DataCentre;
@@ -39,8 +40,6 @@
     read_whole, //
 };
 
-/// Prompt tokens to read up to which a decode engine reads the prompt itself.
-const INLINE_TOKENS: u32 = 250;
 /// Sends of one request that engines may refuse before it is given up.
 const REFUSAL_LIMIT: u32 = 3;
 /// Reads of a prompt apart before a decode engine reads it itself.
@@ -195,7 +194,7 @@
     let chain = &call.facts.chain;
     let need = need(call, sent);
     let inline = place_decode(&state.fleet, now, need, chain, speed, None);
-    if inline.is_some_and(|place| place.uncached <= INLINE_TOKENS) {
+    if inline.as_ref().is_some_and(reads_inline) {
         return None;
     }
     let placement = place_prefill(&state.fleet, now, need, chain, speed)?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -90,6 +90,7 @@
 pub use placement::place_call;
 pub use placement::place_decode;
 pub use placement::place_prefill;
+pub use placement::reads_inline;
 pub use planner::EngineSight;
 pub use planner::RoleChange;
 pub use planner::RolePlanner;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -32,6 +32,8 @@
 /// Score of reading a shared part again that another engine keeps, in milliseconds for each thousand
 /// tokens: engines' time that other prompts wait for.
 const REREAD_MS: f64 = 400.0;
+/// Prompt tokens to read up to which a decode engine always reads the prompt itself.
+const INLINE_TOKENS: u32 = 250;
 /// Score of each stream that a decode engine runs, in milliseconds.
 const STREAM_MS: f64 = 3.0;
 /// Score of a full KV memory, in milliseconds.
@@ -213,6 +215,12 @@
     choose(scored)
 }
 
+/// Whether a decode engine reads a prompt itself: only short remainders, since each chunk that it
+/// reads holds up all of its streams.
+pub fn reads_inline(inline: &Placement) -> bool {
+    inline.uncached <= INLINE_TOKENS
+}
+
 fn own_tokens(chain: &PromptChain) -> u32 {
     chain.parts().last().map_or(0, |part| part.tokens.0)
 }
