--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -31,8 +31,8 @@
     BadBody,
     /// It has not run; no backend server takes it now.
     Unavailable(&'static str),
-    /// It has not run; it would miss its target.
-    Overloaded(Duration),
+    /// It has not run; this gateway leaves and could not finish it.
+    Leaving,
     /// It has not run; requests like it have crashed backend servers.
     KeptOut,
     /// It may have run.
@@ -45,6 +45,8 @@
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after which a request that crashes backend servers may come back.
 const KEPT_OUT_PAUSE: Duration = Duration::from_secs(60);
+/// Pause after which another gateway is in rotation, or this one again.
+const LEAVING_PAUSE: Duration = Duration::from_millis(1_500);
 /// Pause while no configuration is known.
 const CONFIG_PAUSE: Duration = Duration::from_millis(500);
 
@@ -57,8 +59,8 @@
             Self::TooLarge => "too_large",
             Self::BadBody => "bad_body",
             Self::Unavailable(reason) | Self::Unknown(reason) => reason,
-            Self::Overloaded(_) => "overloaded",
             Self::KeptOut => "kept_out",
+            Self::Leaving => "leaving",
             Self::OutOfTime => "out_of_time",
         }
     }
@@ -68,15 +70,15 @@
         match self {
             Self::NotConfigured => Some(CONFIG_PAUSE),
             Self::Unavailable(_) => Some(UNAVAILABLE_PAUSE),
-            Self::Overloaded(pause) => Some(pause),
             Self::KeptOut => Some(KEPT_OUT_PAUSE),
+            Self::Leaving => Some(LEAVING_PAUSE),
             _ => None,
         }
     }
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NotConfigured | Self::Unavailable(_) | Self::Overloaded(_) | Self::KeptOut => {
+            Self::NotConfigured | Self::Unavailable(_) | Self::Leaving | Self::KeptOut => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -74,7 +74,7 @@
     let kind = rule.kind.as_str();
     shared.metrics.requests.with_label_values(&[kind]).inc();
     if !shared.takes(rule.kind, rule.timeout) {
-        return Err(OwnAnswer::Unavailable("leaving"));
+        return Err(OwnAnswer::Leaving);
     }
     let deadline = started + rule.timeout.min(facts.patience.unwrap_or(rule.timeout));
     let deadline = deadline - ANSWER_MARGIN.min(deadline - started);
