--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -43,6 +43,13 @@
 }
 
 impl OpenWork {
+    /// No work.
+    pub const NONE: Self = Self {
+        requests: 0,
+        prompt_tokens: 0,
+        memory_tokens: 0,
+    };
+
     /// Counts more work.
     pub fn add(&mut self, work: Self) {
         self.requests += work.requests;
--- /dev/null
+++ b/crates/policy/tests/learning.rs
@@ -0,0 +1,151 @@
+//! What is learned of engines, peers and suspects from own sight.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use policy::{
+    CallKind,
+    CrashId,
+    OfferedRate,
+    OpenWork,
+    PeerLoads,
+    ReadSpeed,
+    StepModel,
+    SuspectRegister,
+    SuspectVerdict,
+    takes_while_leaving, //
+};
+use tokio::time::Instant;
+use units::{
+    FingerprintId,
+    IncarnationId, //
+};
+
+#[test]
+fn read_speed_beside_queues() {
+    let mut speed = ReadSpeed::default();
+    for sample in 0..400_u32 {
+        let tokens = 2_000 + sample * 17 % 9_000;
+        // Half of the prompts waited behind others that this gateway did not know of.
+        let queue = if sample % 2 == 0 { 0.0 } else { 150.0 };
+        let millis = f64::from(tokens) / 56.0 + queue;
+        speed.note(tokens, Duration::from_secs_f64(millis / 1_000.0));
+    }
+    let learned = speed.tokens_per_ms();
+    assert!((45.0..60.0).contains(&learned), "{learned} of 56");
+}
+
+#[test]
+fn step_model_crowded_engine() {
+    let mut steps = StepModel::default();
+    for sample in 0..2_000_u32 {
+        let streams = 5 + sample % 30;
+        let millis = 4.0 + 0.1 * f64::from(streams);
+        steps.note(streams, 100.0, Duration::from_secs_f64(millis * 0.1));
+    }
+    let rate = steps.rate(20.0);
+    assert!(
+        (3.0..3.6).contains(&rate),
+        "{rate} of 3.33 tokens a millisecond"
+    );
+}
+
+#[test]
+fn offered_rate_steady_work() {
+    let start = Instant::now();
+    let mut rate = OfferedRate::default();
+    assert!(rate.is_unseen());
+    for step in 0..300 {
+        rate.add(start + Duration::from_millis(step * 100), 500.0);
+    }
+    let now = start + Duration::from_secs(30);
+    let learned = rate.per_ms(now);
+    assert!(
+        (4.5..5.5).contains(&learned),
+        "{learned} of 5 a millisecond"
+    );
+    assert!(rate.per_ms(now + Duration::from_secs(60)) < 0.1);
+}
+
+fn work(requests: u32) -> OpenWork {
+    OpenWork {
+        requests,
+        ..OpenWork::NONE
+    }
+}
+
+#[test]
+fn peer_loads_of_those_heard_stand_for_all() {
+    let now = Instant::now();
+    let mut peers = PeerLoads::default();
+    for (peer, requests) in [("g-1", 4), ("g-2", 6)] {
+        let loads = BTreeMap::from([(7, work(requests))]);
+        peers.take(now, peer.parse().unwrap(), IncarnationId(1), 1, loads);
+    }
+    assert_eq!(peers.at(7, 2).requests, 10);
+    assert_eq!(peers.at(7, 10).requests, 50);
+    assert_eq!(peers.at(8, 10), OpenWork::NONE);
+}
+
+#[test]
+fn peer_loads_in_another_order() {
+    let now = Instant::now();
+    let mut peers = PeerLoads::default();
+    let mut take = |incarnation, number, requests| {
+        let loads = BTreeMap::from([(7, work(requests))]);
+        peers.take(
+            now,
+            "g-1".parse().unwrap(),
+            IncarnationId(incarnation),
+            number,
+            loads,
+        )
+    };
+    assert!(take(1, 5, 3));
+    assert!(!take(1, 4, 9), "an older message of the same run");
+    assert!(take(2, 1, 1), "the first message of a new run");
+}
+
+#[test]
+fn peer_loads_of_a_silent_peer() {
+    let now = Instant::now();
+    let mut peers = PeerLoads::default();
+    let loads = BTreeMap::from([(7, work(4))]);
+    peers.take(now, "g-1".parse().unwrap(), IncarnationId(1), 1, loads);
+    assert_eq!(peers.refresh(now + Duration::from_secs(3)), 0);
+    assert_eq!(peers.at(7, 1), OpenWork::NONE);
+}
+
+/// A request that crashes engines is tried at several gateways; what they tell each other counts.
+#[test]
+fn suspects_over_gateways() {
+    let now = Instant::now();
+    let mut register = SuspectRegister::with_limit(3);
+    let request = FingerprintId(0xbad);
+    for crash in [1, 1, 2] {
+        register.crash(now, CrashId(crash), &[request]);
+    }
+    assert_eq!(register.verdict(now, request), SuspectVerdict::Alone);
+    register.crash(now, CrashId(3), &[request]);
+    let verdict = register.verdict(now, request);
+    assert!(matches!(verdict, SuspectVerdict::Quarantined(_)));
+}
+
+#[test]
+fn takes_while_leaving_what_can_end_in_time() {
+    let grace = Duration::from_secs(8);
+    let takes = |spent, kind, timeout| {
+        let spent = Duration::from_millis(spent);
+        takes_while_leaving(spent, grace, kind, Duration::from_millis(timeout))
+    };
+    assert!(
+        takes(2_000, CallKind::Stream, 8_000),
+        "the balancer still sends"
+    );
+    assert!(
+        !takes(3_000, CallKind::Stream, 8_000),
+        "the rule excuses no cut from then on"
+    );
+    assert!(takes(5_000, CallKind::NonIdempotent, 2_000));
+    assert!(!takes(6_500, CallKind::Idempotent, 2_000));
+}
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,229 @@
+//! Where prompts and streams go, by load pattern.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::time::Duration;
+
+use policy::{
+    BackendFleet,
+    BackendRecord,
+    EngineSpeed,
+    EngineStage,
+    OpenWork,
+    Placement,
+    PlacementNeed,
+    PromptChain,
+    place_decode,
+    place_prefill,
+    reads_inline, //
+};
+use tokio::time::Instant;
+use units::{
+    DataCentre,
+    InstanceId,
+    ServiceName, //
+};
+
+const SPEED: EngineSpeed = EngineSpeed {
+    prefill: 50.0,
+    inline: 25.0,
+    memory_tokens: 500_000,
+};
+
+struct Site {
+    fleet: BackendFleet,
+    service: ServiceName,
+    centre: DataCentre,
+    avoid: BTreeSet<InstanceId>,
+}
+
+impl Site {
+    fn new(engines: &[(&str, &str, EngineStage)]) -> Self {
+        let service: ServiceName = "assist".parse().unwrap();
+        let mut fleet = BackendFleet::default();
+        for (instance, centre, stage) in engines {
+            fleet.upsert(BackendRecord {
+                instance: instance.parse().unwrap(),
+                service: service.clone(),
+                address: "10.1.0.1:8080".parse().unwrap(),
+                centre: centre.parse().unwrap(),
+                slots: 64,
+                leaving: false,
+                cold: Duration::ZERO,
+                stage: Some(*stage),
+                born_ms: None,
+            });
+        }
+        Self {
+            fleet,
+            service,
+            centre: "a".parse().unwrap(),
+            avoid: BTreeSet::new(),
+        }
+    }
+
+    fn need(&self) -> PlacementNeed<'_> {
+        PlacementNeed {
+            service: &self.service,
+            centre: &self.centre,
+            avoid: &self.avoid,
+        }
+    }
+
+    fn prefill(&self, chain: &PromptChain) -> Placement {
+        place_prefill(&self.fleet, Instant::now(), self.need(), chain, SPEED).unwrap()
+    }
+
+    fn decode(&self, chain: &PromptChain, source: Option<&str>) -> Placement {
+        let source: Option<DataCentre> = source.map(|centre| centre.parse().unwrap());
+        let now = Instant::now();
+        place_decode(&self.fleet, now, self.need(), chain, SPEED, source.as_ref()).unwrap()
+    }
+
+    fn load(&mut self, instance: &InstanceId, requests: u32, tokens: u64) {
+        let view = self.fleet.get_mut(instance).unwrap();
+        view.open.add(OpenWork {
+            requests,
+            prompt_tokens: tokens,
+            memory_tokens: 0,
+        });
+    }
+}
+
+fn chain(manual: u32, own: u32) -> PromptChain {
+    format!("aa:512,{manual:x}:4870,{own:x}:6610")
+        .parse()
+        .unwrap()
+}
+
+fn prefill_site(count: usize) -> Site {
+    let names: Vec<String> = (0..count).map(|n| format!("p-{n}")).collect();
+    let engines: Vec<_> = names
+        .iter()
+        .map(|name| (name.as_str(), "a", EngineStage::Prefill))
+        .collect();
+    Site::new(&engines)
+}
+
+/// Many prompts over few manuals: each manual is read by one engine, and no engine has them all.
+#[test]
+fn place_prefill_shared_manuals() {
+    let mut site = prefill_site(8);
+    let mut homes: BTreeMap<u32, BTreeSet<InstanceId>> = BTreeMap::new();
+    for own in 0..400 {
+        let manual = 0x100 + own % 40;
+        let chain = chain(manual, 0x10_000 + own);
+        let chosen = site.prefill(&chain).instance;
+        site.fleet
+            .get_mut(&chosen)
+            .unwrap()
+            .note_read(&chain, SPEED.memory_tokens);
+        homes.entry(manual).or_default().insert(chosen);
+    }
+    assert!(homes.values().all(|engines| engines.len() == 1));
+    let used: BTreeSet<&InstanceId> = homes.values().flatten().collect();
+    assert!(used.len() >= 6, "40 manuals on {} of 8 engines", used.len());
+}
+
+/// Two gateways that have not talked send a manual's prompts to the same engine.
+#[test]
+fn place_prefill_agreed_without_talking() {
+    let (one, other) = (prefill_site(8), prefill_site(8));
+    for manual in 0..50 {
+        let chain = chain(0x100 + manual, 0x10_000);
+        assert_eq!(one.prefill(&chain).instance, other.prefill(&chain).instance);
+    }
+}
+
+/// A burst for one manual: its engine falls seconds behind, and the rest goes elsewhere.
+#[test]
+fn place_prefill_burst_for_one_manual() {
+    let mut site = prefill_site(4);
+    let chain = chain(0x100, 0x10_000);
+    let home = site.prefill(&chain).instance;
+    site.load(&home, 10, 20_000);
+    assert_eq!(
+        site.prefill(&chain).instance,
+        home,
+        "0.4 s is less than reading again"
+    );
+    site.load(&home, 100, 200_000);
+    assert_ne!(
+        site.prefill(&chain).instance,
+        home,
+        "4.4 s is more than reading again"
+    );
+}
+
+/// An engine is lost: only its own manuals move.
+#[test]
+fn place_prefill_engine_lost() {
+    let mut site = prefill_site(8);
+    let before: Vec<InstanceId> = (0..100)
+        .map(|manual| site.prefill(&chain(0x100 + manual, 1)).instance)
+        .collect();
+    let lost = before[0].clone();
+    site.fleet.remove(Instant::now(), &lost, false);
+    for (manual, home) in before.iter().enumerate() {
+        let now = site.prefill(&chain(0x100 + manual as u32, 1)).instance;
+        assert!(*home == lost || now == *home);
+    }
+}
+
+/// Streams spread over decode engines rather than fill one.
+#[test]
+fn place_decode_spreads_streams() {
+    let engines = [
+        ("d-0", "a", EngineStage::Decode),
+        ("d-1", "a", EngineStage::Decode),
+        ("d-2", "a", EngineStage::Decode),
+    ];
+    let mut site = Site::new(&engines);
+    let mut counts: BTreeMap<InstanceId, u32> = BTreeMap::new();
+    for own in 0..90 {
+        let chosen = site.decode(&chain(0x100, own), Some("a")).instance;
+        site.load(&chosen, 1, 0);
+        *counts.entry(chosen).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count == 30), "{counts:?}");
+}
+
+/// A long KV cache stays in its data centre unless the engines there are much fuller.
+#[test]
+fn place_decode_near_the_kv_cache() {
+    let engines = [
+        ("d-near", "b", EngineStage::Decode),
+        ("d-far", "a", EngineStage::Decode),
+    ];
+    let mut site = Site::new(&engines);
+    let chain = chain(0x100, 1);
+    let near: InstanceId = "d-near".parse().unwrap();
+    site.load(&near, 10, 0);
+    assert_eq!(site.decode(&chain, Some("b")).instance, near);
+    site.load(&near, 300, 0);
+    assert_ne!(site.decode(&chain, Some("b")).instance, near);
+}
+
+#[test]
+fn reads_inline_short_remainder() {
+    let mut site = Site::new(&[("d-0", "a", EngineStage::Decode)]);
+    let short: PromptChain = "aa:512,bb:4870,cc:120".parse().unwrap();
+    assert!(!reads_inline(&site.decode(&chain(0xbb, 1), None)));
+    let engine: InstanceId = "d-0".parse().unwrap();
+    site.fleet
+        .get_mut(&engine)
+        .unwrap()
+        .note_read(&short, SPEED.memory_tokens);
+    assert!(reads_inline(&site.decode(&short, None)));
+}
+
+#[test]
+fn place_prefill_avoids_engines_tried() {
+    let mut site = prefill_site(3);
+    let chain = chain(0x100, 1);
+    let home = site.prefill(&chain).instance;
+    site.avoid.insert(home.clone());
+    assert_ne!(site.prefill(&chain).instance, home);
+}
--- /dev/null
+++ b/crates/policy/tests/routes.rs
@@ -0,0 +1,104 @@
+//! Routes: the longest prefix of a host wins, and shares are spread by a request's id.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use policy::{
+    CallKind,
+    CallerLimits,
+    RouteRule,
+    RouteTable,
+    ServiceShare, //
+};
+use units::ConfigVersion;
+
+fn rule(name: &str, prefix: &str, shares: &[(&str, u32)]) -> RouteRule {
+    let shares = shares.iter().map(|(service, weight)| ServiceShare {
+        service: service.parse().unwrap(),
+        weight: *weight,
+    });
+    RouteRule {
+        name: name.parse().unwrap(),
+        prefix: prefix.into(),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        gap_target: None,
+        rank: 0,
+        max_attempts: 2,
+        shares: shares.collect(),
+    }
+}
+
+fn table() -> RouteTable {
+    let limits = CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 1_000,
+        header_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let rules = [
+        ("Shop.example".to_owned(), rule("all", "/", &[("web", 1)])),
+        (
+            "shop.example".to_owned(),
+            rule("menu", "/menu/", &[("menu", 1)]),
+        ),
+        (
+            "shop.example".to_owned(),
+            rule("stock", "/menu/stock/", &[("stock", 1)]),
+        ),
+        (
+            "pay.example".to_owned(),
+            rule("pay", "/pay/", &[("pay", 1)]),
+        ),
+    ];
+    RouteTable::new(ConfigVersion(1), limits, BTreeMap::new(), rules)
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    table().find(host, path).map(|rule| rule.name.to_string())
+}
+
+#[test]
+fn find_longest_prefix() {
+    assert_eq!(
+        found("shop.example", "/menu/stock/7").as_deref(),
+        Some("stock")
+    );
+    assert_eq!(found("shop.example", "/menu/7").as_deref(), Some("menu"));
+    assert_eq!(found("shop.example", "/menus/7").as_deref(), Some("all"));
+}
+
+#[test]
+fn find_host_in_any_case_and_with_port() {
+    assert_eq!(
+        found("SHOP.example:8080", "/menu/7").as_deref(),
+        Some("menu")
+    );
+    assert_eq!(found("pay.example", "/menu/7"), None);
+    assert_eq!(found("other.example", "/menu/7"), None);
+}
+
+#[test]
+fn find_prefix_without_last_slash() {
+    assert_eq!(found("pay.example", "/pay"), None);
+}
+
+#[test]
+fn choose_service_by_weight() {
+    let split = rule("split", "/", &[("old", 900), ("new", 100)]);
+    let ids = (0..10_000).map(|n: u32| format!("{n:016x}"));
+    let chosen = ids.filter(|id| split.choose_service(id.as_bytes()).as_str() == "new");
+    let count = chosen.count();
+    assert!(
+        (800..1_200).contains(&count),
+        "{count} of 10,000 for a tenth"
+    );
+}
+
+#[test]
+fn choose_service_same_for_same_request() {
+    let split = rule("split", "/", &[("old", 1), ("new", 1)]);
+    let first = split.choose_service(b"9c41d07be2a35f68");
+    assert_eq!(first, split.choose_service(b"9c41d07be2a35f68"));
+}
