gateway: one watch for configuration, backend servers and gateways

Change: one watch of 2 s over all keys, which also shows members and the planner's lease; changes are gathered for 250 ms.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -40,8 +40,7 @@
 };
 use crate::follow::{
     expire_backends,
-    follow_backends,
-    follow_config, //
+    follow_store, //
 };
 use crate::members::follow_members;
 use crate::readiness::{
@@ -125,8 +124,7 @@
             ready_server,
             metric_server,
             keep_alive,
-            tokio::spawn(follow_config(shared.clone())),
-            tokio::spawn(follow_backends(shared.clone())),
+            tokio::spawn(follow_store(shared.clone())),
             tokio::spawn(expire_backends(shared.clone())),
             tokio::spawn(follow_members(shared.clone())),
             tokio::spawn(plan_stages(shared.clone())),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the configuration and the list of backend servers in the store.
+//! Follows the configuration, the list of backend servers and the gateways in the store, by one watch.
 
 use std::future::Future;
 use std::sync::Arc;
@@ -22,10 +22,18 @@
     sleep, //
 };
 
+use crate::members::{
+    OWN_PREFIX,
+    take_member,
+    take_members, //
+};
 use crate::shared::GatewayShared;
 
-/// Wait of one watch. Probes of the connection show sooner that it has fallen silent.
-const WATCH_TIME: Duration = Duration::from_millis(6_000);
+/// Wait of one watch. A store that falls silent for a moment leaves the watch hanging; what was
+/// accepted meanwhile must still be in force two seconds after machines count as in touch again.
+const WATCH_TIME: Duration = Duration::from_millis(2_000);
+/// Pause after changes, so that those that come one after the other cost one call.
+const GATHER_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a disturbance of the store for which removed entries may come back.
@@ -33,45 +41,13 @@
 /// Pause between looks for entries that did not come back.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(200);
 
-/// One part of the store that is kept up to date.
-struct FollowTask {
-    prefix: &'static str,
-    /// Takes all items under the prefix.
-    take_all: fn(&GatewayShared, Vec<KeyItem>),
-    /// Takes one change.
-    take_change: fn(&GatewayShared, KeyChange),
-}
-
-/// Keeps the configuration up to date, until aborted.
-pub(crate) async fn follow_config(shared: Arc<GatewayShared>) {
-    let task = FollowTask {
-        prefix: CONFIG_KEY,
-        take_all: |shared, items| items.iter().for_each(|item| take_config(shared, item)),
-        take_change: |shared, change| {
-            if let KeyChange::Written(item) = change {
-                take_config(shared, &item);
-            }
-        },
-    };
-    follow(&shared, &task).await;
-}
-
-/// Keeps the list of backend servers up to date, until aborted.
-pub(crate) async fn follow_backends(shared: Arc<GatewayShared>) {
-    let task = FollowTask {
-        prefix: BACKEND_PREFIX,
-        take_all: take_backends,
-        take_change: take_backend,
-    };
-    follow(&shared, &task).await;
-}
-
-async fn follow(shared: &GatewayShared, task: &FollowTask) {
+/// Keeps what this gateway knows of the store up to date, until aborted.
+pub(crate) async fn follow_store(shared: Arc<GatewayShared>) {
     let mut revision = None;
     loop {
         let step = match revision {
-            None => counted(shared, read_all(shared, task)).await,
-            Some(after) => counted(shared, read_changes(shared, task, after)).await,
+            None => read_all(&shared).await,
+            Some(after) => read_changes(&shared, after).await,
         };
         match step {
             Ok(next) => revision = Some(next),
@@ -81,24 +57,44 @@
     }
 }
 
-async fn read_all(shared: &GatewayShared, task: &FollowTask) -> Result<u64, PlatformError> {
-    let page = shared.store.range(task.prefix).await?;
-    (task.take_all)(shared, page.items);
-    Ok(page.revision)
+/// Reads all keys anew and gives the revision from which to watch.
+async fn read_all(shared: &GatewayShared) -> Result<u64, PlatformError> {
+    let config = counted(shared, shared.store.range(CONFIG_KEY)).await?;
+    config
+        .items
+        .iter()
+        .for_each(|item| take_config(shared, item));
+    let backends = counted(shared, shared.store.range(BACKEND_PREFIX)).await?;
+    take_backends(shared, &backends.items);
+    let members = counted(shared, shared.store.range(OWN_PREFIX)).await?;
+    take_members(shared, &members.items);
+    Ok(config.revision)
 }
 
-async fn read_changes(
-    shared: &GatewayShared,
-    task: &FollowTask,
-    after: u64,
-) -> Result<u64, PlatformError> {
-    let updates = shared.store.watch(task.prefix, after, WATCH_TIME).await?;
+async fn read_changes(shared: &GatewayShared, after: u64) -> Result<u64, PlatformError> {
+    let watch = shared.store.watch("", after, WATCH_TIME);
+    let updates = counted(shared, watch).await?;
+    let is_empty = updates.changes.is_empty();
     for change in updates.changes {
-        (task.take_change)(shared, change);
+        take_change(shared, change);
+    }
+    if !is_empty {
+        sleep(GATHER_PAUSE).await;
     }
     Ok(updates.revision.max(after))
 }
 
+fn take_change(shared: &GatewayShared, change: KeyChange) {
+    let key = change.key();
+    if key.starts_with(BACKEND_PREFIX) {
+        take_backend(shared, change);
+    } else if key.starts_with(OWN_PREFIX) {
+        take_member(shared, &change);
+    } else if let KeyChange::Written(item) = &change {
+        take_config(shared, item);
+    }
+}
+
 /// Makes a call of the store and notes whether the store answers.
 pub(crate) async fn counted<T>(
     shared: &GatewayShared,
@@ -161,7 +157,7 @@
     disturbed.is_some_and(|at| now < at + DOUBT_TIME)
 }
 
-fn take_backends(shared: &GatewayShared, items: Vec<KeyItem>) {
+fn take_backends(shared: &GatewayShared, items: &[KeyItem]) {
     let now = Instant::now();
     let doubt = in_doubt(shared, now);
     let read = items.iter().filter_map(|item| read_or_log(shared, item));
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -12,6 +12,7 @@
     DecisionRecord, //
 };
 use platform::{
+    KeyChange,
     KeyCheck,
     KeyItem,
     KeyPut,
@@ -32,7 +33,7 @@
 use crate::shared::GatewayShared;
 
 /// Start of the keys of the gateways.
-const OWN_PREFIX: &str = "galenarail/";
+pub(crate) const OWN_PREFIX: &str = "galenarail/";
 /// Start of the keys of members; the instance follows.
 const MEMBER_PREFIX: &str = "galenarail/members/";
 /// Key of the gateway that gives orders.
@@ -41,10 +42,8 @@
 const MEMBER_LIFETIME: Duration = Duration::from_secs(20);
 /// Time for which the planner's lease holds without renewal.
 pub(crate) const PLANNER_LIFETIME: Duration = Duration::from_secs(4);
-/// Pause between renewals of the planner's lease.
+/// Pause between renewals of the planner's lease, and between looks at whether it is free.
 const RENEW_PAUSE: Duration = Duration::from_secs(1);
-/// Pause between looks at the other members.
-const LOOK_PAUSE: Duration = Duration::from_secs(2);
 /// Pause between renewals of the own key.
 const MEMBER_PAUSE: Duration = Duration::from_secs(5);
 /// Pause after a failed call.
@@ -55,7 +54,6 @@
 struct HeldLeases {
     member: Option<LeaseId>,
     planner: Option<LeaseId>,
-    looked: Option<Instant>,
     renewed: Option<Instant>,
 }
 
@@ -76,16 +74,8 @@
     if held.planner.is_some() {
         renew_planner(shared, held).await?;
     }
-    let now = Instant::now();
-    if held.looked.is_some_and(|at| now < at + LOOK_PAUSE) {
-        return Ok(());
-    }
     keep_member(shared, held).await?;
-    // Old news cost little: what a look suggests is checked by the write that follows.
-    let page = counted(shared, shared.store.range_relaxed(OWN_PREFIX)).await?;
-    held.looked = Some(now);
-    note_members(shared, &page.items, page.revision);
-    let is_free = page.items.iter().all(|item| item.key != PLANNER_KEY);
+    let is_free = shared.lock().planner_is_free;
     if is_free && held.planner.is_none() && !shared.is_leaving() {
         gain_planner(shared, held).await?;
     }
@@ -122,19 +112,46 @@
     }
 }
 
-fn note_members(shared: &GatewayShared, items: &[KeyItem], revision: u64) {
-    let read = |item: &KeyItem| {
-        let name = item.key.strip_prefix(MEMBER_PREFIX)?;
-        let address = std::str::from_utf8(&item.value).ok()?;
-        Some((name.parse().ok()?, address.parse().ok()?))
-    };
-    let members: BTreeMap<InstanceId, SocketAddr> = items.iter().filter_map(read).collect();
+fn read_member(item: &KeyItem) -> Option<(InstanceId, SocketAddr)> {
+    let name = item.key.strip_prefix(MEMBER_PREFIX)?;
+    let address = std::str::from_utf8(&item.value).ok()?;
+    Some((name.parse().ok()?, address.parse().ok()?))
+}
+
+/// Takes all keys of the gateways.
+pub(crate) fn take_members(shared: &GatewayShared, items: &[KeyItem]) {
+    let members: BTreeMap<InstanceId, SocketAddr> = items.iter().filter_map(read_member).collect();
     let count = members.len();
-    let before = std::mem::replace(&mut shared.lock().members, members).len();
+    let mut state = shared.lock();
+    state.planner_is_free = items.iter().all(|item| item.key != PLANNER_KEY);
+    let before = std::mem::replace(&mut state.members, members).len();
+    drop(state);
+    log_members(shared, before, count);
+}
+
+/// Takes a change of a key of the gateways.
+pub(crate) fn take_member(shared: &GatewayShared, change: &KeyChange) {
+    let mut state = shared.lock();
+    let before = state.members.len();
+    match change {
+        KeyChange::Written(item) if item.key == PLANNER_KEY => state.planner_is_free = false,
+        KeyChange::Removed(key) if key == PLANNER_KEY => state.planner_is_free = true,
+        KeyChange::Written(item) => state.members.extend(read_member(item)),
+        KeyChange::Removed(key) => {
+            let name = key.strip_prefix(MEMBER_PREFIX).unwrap_or_default();
+            state.members.retain(|member, _| member.as_str() != name);
+        }
+    }
+    let count = state.members.len();
+    drop(state);
+    log_members(shared, before, count);
+}
+
+fn log_members(shared: &GatewayShared, before: usize, count: usize) {
     if before != count {
         let record = DecisionRecord::new(DecisionKind::Member, "count of gateways changed");
         let record = record.input("before", before).input("now", count);
-        shared.log.decide(record.input("revision", revision));
+        shared.log.decide(record);
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -84,6 +84,8 @@
     /// Gateways with their addresses for messages, this one included; they share the budgets of
     /// further sends.
     pub(crate) members: BTreeMap<InstanceId, SocketAddr>,
+    /// Whether no gateway holds the planner's lease, as far as the watch has shown.
+    pub(crate) planner_is_free: bool,
     /// Load of the other gateways.
     pub(crate) peers: PeerLoads,
     /// Requests that ran where backend servers crashed.
@@ -124,6 +126,7 @@
                 budgets: BTreeMap::new(),
                 speeds: BTreeMap::new(),
                 members: BTreeMap::new(),
+                planner_is_free: false,
                 peers: PeerLoads::default(),
                 suspects: SuspectRegister::with_limit(CRASH_LIMIT),
                 own_crashes: VecDeque::new(),
