host, gateway: settings read again on SIGHUP and when their file changes

Change: daemons take SIGHUP; the gateway takes the grace period and the bounds on further sends at once, says what needs a restart, and keeps its settings when the file is refused.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use conf::GatewaySettings;
+use conf::{
+    ConfError,
+    GatewaySettings, //
+};
 use hyper::body::Incoming;
 use hyper::{
     Request,
@@ -147,13 +150,31 @@
         self.address
     }
 
+    /// Takes changed settings: the grace period and the bounds on further sends. Addresses and names
+    /// hold until the next start; settings that are refused change nothing.
+    pub fn reload(&self, settings: Result<GatewaySettings, ConfError>) {
+        let record = match settings {
+            Ok(settings) => {
+                let before = &self.shared.settings;
+                let moved = settings.listen != before.listen || settings.store != before.store;
+                self.shared.tune(&settings);
+                DecisionRecord::new(DecisionKind::Process, "settings read again")
+                    .input("grace_s", settings.grace_s)
+                    .input("repeat_allowance", settings.repeat_allowance)
+                    .input("needs_restart", moved)
+            }
+            Err(error) => DecisionRecord::new(DecisionKind::Process, error.to_string()).failure(),
+        };
+        self.shared.log.decide(record);
+    }
+
     /// Says that it is not ready, takes what still arrives, finishes what runs, then ends.
     pub async fn stop(self) {
         let record = DecisionRecord::new(DecisionKind::Process, "stopping");
         self.shared.log.decide(record);
         self.shared.lock().left_at = Some(Instant::now());
         self.shared.phase.send_replace(LifePhase::Leaving);
-        let grace = self.shared.settings.grace();
+        let grace = self.shared.lock().grace;
         let leave = LEAVE_TIME.min(grace / 2);
         sleep(leave).await;
         self.shared.phase.send_replace(LifePhase::Closing);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -17,6 +17,7 @@
     };
     program.run_single(
         async |settings, log| Ok(GatewayDaemon::start(settings, log).await?),
+        GatewayDaemon::reload,
         GatewayDaemon::stop,
     )
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -94,12 +94,24 @@
     pub(crate) own_crashes: VecDeque<(FingerprintId, CrashId)>,
     /// This gateway's turn to give orders.
     pub(crate) turn: OrderTurn,
+    /// What the platform allows in further sends.
+    pub(crate) terms: RepeatTerms,
+    /// Time between SIGTERM and SIGKILL.
+    pub(crate) grace: Duration,
     /// When the gateway began to leave.
     pub(crate) left_at: Option<Instant>,
     /// End of the latest disturbance of the store that this gateway has seen.
     pub(crate) store_disturbed: Option<Instant>,
 }
 
+fn repeat_terms(settings: &GatewaySettings) -> RepeatTerms {
+    RepeatTerms {
+        ratio: settings.repeat_ratio,
+        window: settings.repeat_window(),
+        allowance: settings.repeat_allowance,
+    }
+}
+
 /// What the tasks of one gateway share.
 pub(crate) struct GatewayShared {
     pub(crate) settings: GatewaySettings,
@@ -116,7 +128,6 @@
         let settle = settings.order_turn();
         Self {
             store: KeyStore::new(settings.store, STORE_CALL_TIME),
-            settings,
             log,
             metrics: GatewayMetrics::new(),
             phase: watch::Sender::new(LifePhase::Serving),
@@ -130,11 +141,14 @@
                 peers: PeerLoads::default(),
                 suspects: SuspectRegister::with_limit(CRASH_LIMIT),
                 own_crashes: VecDeque::new(),
+                terms: repeat_terms(&settings),
+                grace: settings.grace(),
                 left_at: None,
                 turn: OrderTurn::new(PLANNER_LIFETIME, settle),
                 store_disturbed: None,
             }),
             pool: Mutex::new(ChannelPool::default()),
+            settings,
         }
     }
 
@@ -148,10 +162,10 @@
 
     /// Whether a request that arrives now can be answered before the gateway ends.
     pub(crate) fn takes(&self, kind: CallKind, timeout: Duration) -> bool {
-        let Some(left_at) = self.lock().left_at else {
-            return true;
-        };
-        takes_while_leaving(left_at.elapsed(), self.settings.grace(), kind, timeout)
+        let state = self.lock();
+        let (left_at, grace) = (state.left_at, state.grace);
+        let Some(left_at) = left_at else { return true };
+        takes_while_leaving(left_at.elapsed(), grace, kind, timeout)
     }
 
     /// Whether the gateway is on its way out.
@@ -173,19 +187,21 @@
         view.is_some_and(|view| view.is_silent(Instant::now()))
     }
 
-    fn terms(&self) -> RepeatTerms {
-        RepeatTerms {
-            ratio: self.settings.repeat_ratio,
-            window: self.settings.repeat_window(),
-            allowance: self.settings.repeat_allowance,
-        }
+    /// Takes the settings that may change while the gateway runs.
+    pub(crate) fn tune(&self, settings: &GatewaySettings) {
+        let mut state = self.lock();
+        state.grace = settings.grace();
+        state.terms = repeat_terms(settings);
+        let terms = state.terms;
+        let budgets = state.budgets.values_mut();
+        budgets.for_each(|budget| budget.set_terms(terms));
     }
 
     /// Counts a request for a service.
     pub(crate) fn earn_repeat(&self, service: &ServiceName) {
-        let terms = self.terms();
         let now = Instant::now();
         let mut state = self.lock();
+        let terms = state.terms;
         let fresh = || RepeatBudget::new(now, terms);
         let budget = state.budgets.entry(service.clone()).or_insert_with(fresh);
         budget.earn(now);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod metrics;
 mod program;
+mod source;
 
 pub use args::DaemonArgs;
 pub use clock::boot_time;
--- a/crates/host/src/program.rs
+++ b/crates/host/src/program.rs
@@ -7,6 +7,7 @@
     PathBuf, //
 };
 use std::process::ExitCode;
+use std::time::Duration;
 
 use conf::{
     ConfError,
@@ -25,10 +26,14 @@
     SignalKind,
     signal, //
 };
+use tokio::time::sleep;
 use units::InstanceId;
 
 use crate::DaemonArgs;
+use crate::source::SettingsSource;
 
+/// Pause between looks at whether the settings file has changed.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
 /// Status for settings that are refused.
 const SETTINGS_STATUS: u8 = 2;
 
@@ -68,6 +73,8 @@
 impl<S: DeserializeOwned> DaemonProgram<S> {
     /// Reads the settings, starts the daemon on threads for all cores, waits for a signal and stops
     /// it.
+    ///
+    /// SIGHUP changes nothing: settings are taken at the next start.
     pub fn run<D, Starting, Stopping>(
         &self,
         start: impl FnOnce(S, LogSink) -> Starting,
@@ -77,26 +84,29 @@
         Starting: Future<Output = Result<D, DaemonError>>,
         Stopping: Future<Output = ()>,
     {
-        self.run_on(&mut Builder::new_multi_thread(), start, stop)
+        self.run_on(&mut Builder::new_multi_thread(), start, |_, _| (), stop)
     }
 
-    /// As `run`, on one thread.
+    /// As `run`, on one thread, and with settings that are read again after SIGHUP or when their
+    /// file has changed.
     pub fn run_single<D, Starting, Stopping>(
         &self,
         start: impl FnOnce(S, LogSink) -> Starting,
+        reload: impl Fn(&D, Result<S, ConfError>),
         stop: impl FnOnce(D) -> Stopping,
     ) -> ExitCode
     where
         Starting: Future<Output = Result<D, DaemonError>>,
         Stopping: Future<Output = ()>,
     {
-        self.run_on(&mut Builder::new_current_thread(), start, stop)
+        self.run_on(&mut Builder::new_current_thread(), start, reload, stop)
     }
 
     fn run_on<D, Starting, Stopping>(
         &self,
         runtime: &mut Builder,
         start: impl FnOnce(S, LogSink) -> Starting,
+        reload: impl Fn(&D, Result<S, ConfError>),
         stop: impl FnOnce(D) -> Stopping,
     ) -> ExitCode
     where
@@ -104,8 +114,12 @@
         Stopping: Future<Output = ()>,
     {
         let args: DaemonArgs = argh::from_env();
-        let settings = match args.path().and_then(|path| self.load(&path)) {
-            Ok(settings) => settings,
+        let loaded = args.path().and_then(|path| {
+            let settings = self.load(&path)?;
+            Ok((path, settings))
+        });
+        let (path, settings) = match loaded {
+            Ok(loaded) => loaded,
             Err(error) => {
                 eprintln!("{}: {error}", self.name);
                 return ExitCode::from(SETTINGS_STATUS);
@@ -117,7 +131,10 @@
         }
         let place = (self.log)(&settings);
         let built = runtime.enable_all().build().map_err(DaemonError::from);
-        let run = |runtime: Runtime| runtime.block_on(run_daemon(settings, place, start, stop));
+        let source = SettingsSource::new(path.clone(), || self.load(&path));
+        let run = |runtime: Runtime| {
+            runtime.block_on(run_daemon(settings, place, source, start, reload, stop))
+        };
         match built.and_then(run) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
@@ -137,7 +154,9 @@
 async fn run_daemon<S, D, Starting, Stopping>(
     settings: S,
     place: LogPlace,
+    mut source: SettingsSource<impl Fn() -> Result<S, ConfError>>,
     start: impl FnOnce(S, LogSink) -> Starting,
+    reload: impl Fn(&D, Result<S, ConfError>),
     stop: impl FnOnce(D) -> Stopping,
 ) -> Result<(), DaemonError>
 where
@@ -147,10 +166,19 @@
     let log = place.open()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let daemon = start(settings, log).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&daemon, source.read()),
+            () = sleep(LOOK_PAUSE) => {
+                if source.has_changed() {
+                    reload(&daemon, source.read());
+                }
+            }
+        }
     }
     stop(daemon).await;
     Ok(())
--- a/crates/policy/src/repeat_budget.rs
+++ b/crates/policy/src/repeat_budget.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Takes other terms from now on.
+    pub fn set_terms(&mut self, terms: RepeatTerms) {
+        self.terms = terms;
+    }
+
     /// Counts a request of a caller.
     pub fn earn(&mut self, now: Instant) {
         self.slice(now).requests += 1;
