--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -27,9 +27,7 @@
 /// Notes that the connection broke while a request ran and before any part of its answer.
 pub(crate) fn note_crash(call: &CallContext, instance: &InstanceId) {
     let fingerprint = fingerprint(call);
-    let crash = CrashId(XxHash3_64::oneshot(
-        format!("{instance}|{}", call.id()).as_bytes(),
-    ));
+    let crash = CrashId(rand::random());
     let mut state = call.shared.lock();
     state.suspects.crash(Instant::now(), crash, &[fingerprint]);
     state.own_crashes.push_back((fingerprint, crash));
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -95,10 +95,10 @@
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.context(ExchangeSnafu)?;
     tokio::spawn(connection);
-    let mut builder = Request::builder()
-        .method(call.method)
-        .uri(&call.path)
-        .header("host", address.to_string());
+    let mut builder = Request::builder().method(call.method).uri(&call.path);
+    if !call.headers.iter().any(|(name, _)| *name == "host") {
+        builder = builder.header("host", address.to_string());
+    }
     for (name, value) in &call.headers {
         builder = builder.header(*name, value);
     }
