--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -37,8 +37,10 @@
 
 use crate::shared::GatewayShared;
 
-/// Pause between two messages to each peer.
-const SHARE_PAUSE: Duration = Duration::from_millis(150);
+/// Shortest and longest pause between two messages to each peer.
+const SHARE_PAUSES: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(400)];
+/// Bytes a second that go to all peers; most of what a daemon may spend for control.
+const SHARE_BYTES: f64 = 20_000.0;
 /// Peers that get this gateway's load; with more gateways, what is heard stands for all.
 const PEER_LIMIT: usize = 8;
 /// Largest datagram.
@@ -55,11 +57,15 @@
 pub(crate) async fn send_shares(shared: Arc<GatewayShared>, socket: Arc<UdpSocket>) {
     let incarnation = IncarnationId(rand::random());
     let mut number = 0;
+    let [mut pause, longest] = SHARE_PAUSES;
     loop {
-        sleep(SHARE_PAUSE).await;
+        sleep(pause).await;
         number += 1;
         let share = make_share(&shared, incarnation, number).encode_to_vec();
-        for peer in peers(&shared) {
+        let peers = peers(&shared);
+        let bytes = (share.len() * peers.len()) as f64;
+        pause = Duration::from_secs_f64(bytes / SHARE_BYTES).clamp(SHARE_PAUSES[0], longest);
+        for peer in peers {
             // A datagram that is lost is replaced by the next one.
             let _ = socket.send_to(&share, peer).await;
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -60,7 +60,8 @@
         match result {
             Ok(answer) => {
                 sent.runs += 1;
-                if is_error(&answer) && may_repeat(call, &sent, "error_status") {
+                if is_error(&answer) && may_repeat(call, &sent) {
+                    log_repeat(call, &instance, "error_status");
                     continue;
                 }
                 let taken = began.elapsed();
@@ -85,7 +86,7 @@
             }
             Err(SendTrouble::Unknown(reason)) => {
                 sent.runs += 1;
-                if !may_repeat(call, &sent, reason) {
+                if !may_repeat(call, &sent) {
                     return Err(OwnAnswer::Unknown(reason));
                 }
                 log_repeat(call, &instance, reason);
@@ -134,7 +135,7 @@
 }
 
 /// Whether a request that has run may be sent once more, taking it from the budget.
-pub(crate) fn may_repeat(call: &CallContext, sent: &SendCount, _reason: &str) -> bool {
+fn may_repeat(call: &CallContext, sent: &SendCount) -> bool {
     call.rule.kind.is_repeatable()
         && sent.runs < call.rule.max_attempts
         && call.shared.spend_repeat(&call.service)
