--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -33,7 +33,7 @@
 /// accepted meanwhile must still be in force two seconds after machines count as in touch again.
 const WATCH_TIME: Duration = Duration::from_millis(2_000);
 /// Pause after changes, so that those that come one after the other cost one call.
-const GATHER_PAUSE: Duration = Duration::from_millis(250);
+const GATHER_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after a disturbance of the store for which removed entries may come back.
