--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -33,7 +33,7 @@
 /// tokens: engines' time that other prompts wait for.
 const REREAD_MS: f64 = 400.0;
 /// Prompt tokens to read up to which a decode engine always reads the prompt itself.
-const INLINE_TOKENS: u32 = 250;
+const INLINE_TOKENS: u32 = 100;
 /// Score of each stream that a decode engine runs, in milliseconds.
 const STREAM_MS: f64 = 3.0;
 /// Score of a full KV memory, in milliseconds.
