--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use argh::FromArgs;
+use snafu::OptionExt;
 use store::BlockingClient;
 
+use crate::error::NoStoreSnafu;
 use crate::{
     CliError,
     CommandReport,
@@ -15,6 +17,7 @@
 mod class;
 mod config;
 mod drain;
+mod explain;
 mod status;
 
 use account::AccountArgs;
@@ -24,6 +27,7 @@
     DrainArgs,
     UndrainArgs, //
 };
+use explain::ExplainArgs;
 use status::StatusArgs;
 
 /// Operates galenarail: states targets for classes of work, and empties instances for planned
@@ -31,9 +35,9 @@
 #[derive(Debug)]
 #[derive(FromArgs)]
 pub struct OperatorArgs {
-    /// address of the platform's key-value service
+    /// address of the platform's key-value service; not needed to explain
     #[argh(option)]
-    store: SocketAddr,
+    store: Option<SocketAddr>,
     /// print JSON in place of text
     #[argh(switch)]
     pub json: bool,
@@ -49,19 +53,24 @@
     Class(ClassArgs),
     Config(ConfigArgs),
     Drain(DrainArgs),
+    Explain(ExplainArgs),
     Undrain(UndrainArgs),
     Status(StatusArgs),
 }
 
 /// Runs a command.
 pub fn run_command(args: &OperatorArgs) -> Result<CommandReport, CliError> {
-    let editor = ConfigEditor::new(BlockingClient::new(args.store));
+    let editor = || -> Result<ConfigEditor, CliError> {
+        let store = args.store.context(NoStoreSnafu)?;
+        Ok(ConfigEditor::new(BlockingClient::new(store)))
+    };
     match &args.command {
-        OperatorCommand::Account(args) => account::run(&editor, args),
-        OperatorCommand::Class(args) => class::run(&editor, args),
-        OperatorCommand::Config(args) => config::run(&editor, args),
-        OperatorCommand::Drain(args) => drain::run_drain(&editor, args),
-        OperatorCommand::Undrain(args) => drain::run_undrain(&editor, args),
-        OperatorCommand::Status(args) => status::run(&editor, args),
+        OperatorCommand::Account(args) => account::run(&editor()?, args),
+        OperatorCommand::Class(args) => class::run(&editor()?, args),
+        OperatorCommand::Config(args) => config::run(&editor()?, args),
+        OperatorCommand::Explain(args) => explain::run(args),
+        OperatorCommand::Drain(args) => drain::run_drain(&editor()?, args),
+        OperatorCommand::Undrain(args) => drain::run_undrain(&editor()?, args),
+        OperatorCommand::Status(args) => status::run(&editor()?, args),
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -12,6 +12,9 @@
 #[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum CliError {
+    /// No store is named.
+    #[snafu(display("no store is named"))]
+    NoStore,
     /// The store gave no answer.
     #[snafu(display("cannot reach the configuration: {source}"))]
     Store {
@@ -72,6 +75,7 @@
     /// What the operator can do, apart from what went wrong.
     pub fn hint(&self) -> &'static str {
         match self {
+            Self::NoStore => "give --store with the address of the platform's store",
             Self::Store { .. } => "check --store and the health of the platform's store",
             Self::Invalid { .. } => "nothing was changed; correct the value and try again",
             Self::Stored { .. } => "run 'galenarail config show --json' and repair it",
