policy: stages change only where one is short of engines, two at a time

Change: eight changes at most before work is seen; then two at a time, and only for a stage whose work takes more than 0.35 of its engines. Tests of both loads.

--- a/crates/fakes/src/engine_http.rs
+++ b/crates/fakes/src/engine_http.rs
@@ -7,12 +7,10 @@
 use std::net::SocketAddr;
 use std::sync::{
     Arc,
-    Mutex,
-    MutexGuard, //
+    Mutex, //
 };
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{
     CONTENT_TYPE,
@@ -32,14 +30,8 @@
     Deserialize,
     Serialize, //
 };
-use tokio::sync::{
-    Notify,
-    mpsc, //
-};
-use tokio::time::{
-    Instant,
-    sleep, //
-};
+use tokio::sync::Notify;
+use tokio::time::Instant;
 use units::{
     EpochNumber,
     ModelName,
@@ -52,16 +44,23 @@
     read_body, //
 };
 
-use crate::answer::{
-    hash_of,
-    token_of, //
-};
+use crate::answer::hash_of;
 use crate::engine_model::{
     EngineModel,
-    StreamEnd,
     StreamKey,
     StreamSpec, //
 };
+use crate::engine_state::{
+    EngineFaults,
+    EngineState,
+    FakeEngineSettings,
+    SharedEngine,
+    StreamState,
+    crash,
+    drive,
+    emit,
+    pause, //
+};
 use crate::order_log::OrderEntry;
 use crate::server::{
     ServerHandle,
@@ -74,64 +73,6 @@
 /// Bytes of a prompt that make up its prefix.
 const PREFIX_BYTES: usize = 256;
 
-/// Faults of an engine.
-#[derive(Debug, Clone, Default)]
-pub struct EngineFaults {
-    /// Text in a prompt that crashes the engine.
-    pub poison: Option<String>,
-    /// Time that a restart after a crash takes.
-    pub restart: Duration,
-    /// Streams stop sending without an end.
-    pub silent: bool,
-}
-
-/// How an engine stand-in starts.
-#[derive(Debug, Clone)]
-pub struct FakeEngineSettings {
-    /// Memory and step times.
-    pub profile: EngineProfile,
-    /// Role at the start.
-    pub role: EngineRole,
-    /// Models loaded.
-    pub models: BTreeSet<ModelName>,
-    /// Whether orders with an old fencing number are refused.
-    pub checks_fencing: bool,
-}
-
-#[derive(Debug)]
-struct EngineState {
-    model: EngineModel,
-    models: BTreeSet<ModelName>,
-    checks_fencing: bool,
-    faults: EngineFaults,
-    streams: BTreeMap<StreamKey, StreamState>,
-    next_key: u64,
-    highest_epoch: EpochNumber,
-    orders: Vec<OrderEntry>,
-    crashes: u32,
-    runs: BTreeMap<String, u32>,
-}
-
-#[derive(Debug)]
-struct StreamState {
-    hash: u64,
-    next: u32,
-    total: u32,
-    sender: mpsc::Sender<Bytes>,
-}
-
-#[derive(Debug)]
-struct SharedEngine {
-    state: Mutex<EngineState>,
-    wake: Notify,
-}
-
-impl SharedEngine {
-    fn lock(&self) -> MutexGuard<'_, EngineState> {
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
-    }
-}
-
 /// A model engine on loopback.
 #[derive(Debug)]
 pub struct FakeEngine {
@@ -214,96 +155,6 @@
     }
 }
 
-fn crash(state: &mut EngineState, away: Duration) {
-    state.crashes += 1;
-    state.model.crash(Instant::now() + away);
-    // Dropped senders cut the streams without an end.
-    state.streams.clear();
-}
-
-async fn drive(shared: Arc<SharedEngine>) {
-    loop {
-        let stepped = shared.lock().model.step(Instant::now());
-        let Some((duration, events)) = stepped else {
-            shared.wake.notified().await;
-            continue;
-        };
-        sleep(duration).await;
-        let mut state = shared.lock();
-        for event in events {
-            emit(&mut state, event.key, event.token, event.end);
-        }
-    }
-}
-
-fn emit(state: &mut EngineState, key: StreamKey, token: bool, end: Option<StreamEnd>) {
-    let silent = state.faults.silent;
-    let Some(stream) = state.streams.get_mut(&key) else {
-        return;
-    };
-    let mut sent = true;
-    if token && !silent {
-        let text = token_of(stream.hash, stream.next);
-        stream.next += 1;
-        let line = format!("data: {{\"text\":\"{text}\",\"tokens\":1}}\n\n");
-        sent = stream.sender.try_send(line.into()).is_ok();
-    }
-    if let Some(end) = end {
-        if !silent {
-            // A reader that is gone needs no end.
-            let _ = stream.sender.try_send(end_line(end, stream).into());
-        }
-        state.streams.remove(&key);
-    } else if !sent {
-        state.streams.remove(&key);
-        state.model.cancel(key);
-    }
-}
-
-/// Ends a stream and exports its KV cache, from which it can be resumed.
-fn pause(shared: &SharedEngine, body: &[u8]) -> Response<ReplyBody> {
-    #[derive(Deserialize)]
-    struct PauseCall {
-        stream: u64,
-    }
-    let Ok(call) = serde_json::from_slice::<PauseCall>(body) else {
-        return json_reply(StatusCode::BAD_REQUEST, "{}");
-    };
-    let key = StreamKey(call.stream);
-    let mut state = shared.lock();
-    let Some(stream) = state.streams.remove(&key) else {
-        return json_reply(StatusCode::NOT_FOUND, "{}");
-    };
-    state.model.cancel(key);
-    let line = finish_line("paused", &kv_handle(&stream));
-    // A reader that is gone needs no end.
-    let _ = stream.sender.try_send(line.into());
-    json_reply(StatusCode::OK, "{}")
-}
-
-fn kv_handle(stream: &StreamState) -> String {
-    format!("kv-{:016x}-{}", stream.hash, stream.next)
-}
-
-fn finish_line(reason: &str, handle: &str) -> String {
-    let event = format!("{{\"finish_reason\":\"{reason}\",\"kv_handle\":\"{handle}\"}}");
-    format!("data: {event}\n\ndata: [DONE]\n\n")
-}
-
-fn end_line(end: StreamEnd, stream: &StreamState) -> String {
-    let reason = match end {
-        StreamEnd::Finished if stream.next >= stream.total => "length",
-        StreamEnd::Finished => "stop",
-        StreamEnd::Handoff => "handoff",
-        StreamEnd::Interrupted => "interrupted",
-    };
-    let handle = match end {
-        StreamEnd::Handoff => kv_handle(stream),
-        _ => String::new(),
-    };
-    finish_line(reason, &handle)
-}
-
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct CompletionCall {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod engine_http;
 mod engine_model;
+mod engine_state;
 mod kv_http;
 mod kv_state;
 mod order_log;
@@ -14,14 +15,14 @@
 
 pub use answer::expected_answer;
 pub use answer::token_text;
-pub use engine_http::EngineFaults;
 pub use engine_http::FakeEngine;
-pub use engine_http::FakeEngineSettings;
 pub use engine_model::EngineModel;
 pub use engine_model::StreamEnd;
 pub use engine_model::StreamKey;
 pub use engine_model::StreamSpec;
 pub use engine_model::TokenEvent;
+pub use engine_state::EngineFaults;
+pub use engine_state::FakeEngineSettings;
 pub use kv_http::FakeStore;
 pub use kv_state::StoreFaults;
 pub use order_log::OrderEntry;
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -44,9 +44,6 @@
 const CALM_TIME: Duration = Duration::from_secs(4);
 /// Time for an engine to take an order.
 const ORDER_TIME: Duration = Duration::from_millis(800);
-/// Changes of stage under way at a time, as a share of the engines.
-const CHANGING_SHARE: f64 = 0.12;
-
 /// A change with the authority under which it is ordered.
 struct PlannedOrder {
     address: SocketAddr,
@@ -85,12 +82,7 @@
         return None;
     }
     let sights = sights(&state, service, pending, now);
-    let changing = sights.iter().filter(|sight| sight.is_changing).count();
     let seen = state.demand(service, now);
-    let limit = (sights.len() as f64 * CHANGING_SHARE).ceil() as usize;
-    if seen.is_some() && changing >= limit {
-        return None;
-    }
     let change = planner.plan(now, &sights, seen)?;
     let view = state.fleet.get(&change.instance)?;
     pending.send(now, change.instance.clone(), change.stage);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -149,15 +149,10 @@
     let views = candidates(fleet, now, need, Some(EngineStage::Prefill));
     let agreed = agreed_place(&views, chain);
     let scored = views.into_iter().map(|view| {
-        let mut cached = view.parts.cached_tokens(chain);
-        if agreed.as_ref() == Some(&view.record.instance) {
-            let shared = chain.tokens() - own_tokens(chain);
-            cached = cached.max((f64::from(shared) * AGREED_SHARE) as u32);
-        }
-        let uncached = chain.tokens().saturating_sub(cached);
+        let uncached = uncached_tokens(view, chain, agreed.as_ref());
         let wait = view.total().prompt_tokens as f64 / speed.prefill;
         let read = f64::from(uncached) / speed.prefill;
-        let reread = f64::from(uncached.saturating_sub(own_tokens(chain))) / 1_000.0 * REREAD_MS;
+        let reread = reread_ms(chain, uncached);
         let failures = view.health.failure_share() * FAILURE_MS;
         Candidate {
             view,
@@ -182,19 +177,13 @@
     let agreed = agreed_place(&views, chain).filter(|_| source.is_none());
     let scored = views.into_iter().map(|view| {
         let total = view.total();
-        let mut cached = view.parts.cached_tokens(chain);
-        if agreed.as_ref() == Some(&view.record.instance) {
-            let shared = chain.tokens() - own_tokens(chain);
-            cached = cached.max((f64::from(shared) * AGREED_SHARE) as u32);
-        }
         let uncached = match source {
             Some(_) => 0,
-            None => chain.tokens().saturating_sub(cached),
+            None => uncached_tokens(view, chain, agreed.as_ref()),
         };
         let wait = total.prompt_tokens as f64 / speed.inline;
         let read = f64::from(uncached) / speed.inline;
-        let shared = uncached.saturating_sub(own_tokens(chain));
-        let reread = f64::from(shared) / 1_000.0 * REREAD_MS;
+        let reread = reread_ms(chain, uncached);
         let crowd = f64::from(total.requests) * STREAM_MS;
         let memory = total.memory_tokens as f64 / speed.memory_tokens.max(1) as f64;
         let moved = match source {
@@ -221,6 +210,22 @@
     inline.uncached <= INLINE_TOKENS
 }
 
+/// Tokens that an engine has to read of a prompt, as far as is known of what it keeps.
+fn uncached_tokens(view: &BackendView, chain: &PromptChain, agreed: Option<&InstanceId>) -> u32 {
+    let mut cached = view.parts.cached_tokens(chain);
+    if agreed == Some(&view.record.instance) {
+        let shared = chain.tokens() - own_tokens(chain);
+        cached = cached.max((f64::from(shared) * AGREED_SHARE) as u32);
+    }
+    chain.tokens().saturating_sub(cached)
+}
+
+/// Score of the shared parts among the tokens to read.
+fn reread_ms(chain: &PromptChain, uncached: u32) -> f64 {
+    let shared = uncached.saturating_sub(own_tokens(chain));
+    f64::from(shared) / 1_000.0 * REREAD_MS
+}
+
 fn own_tokens(chain: &PromptChain) -> u32 {
     chain.parts().last().map_or(0, |part| part.tokens.0)
 }
--- a/crates/policy/src/stage_planner.rs
+++ b/crates/policy/src/stage_planner.rs
@@ -20,6 +20,12 @@
 const PREFILL_USE: f64 = 0.9;
 /// Share of a decode engine's slots that is planned to be used.
 pub const SLOT_USE: f64 = 0.3;
+/// Changes before any work has been seen; beyond them it has to show that they are needed.
+const PRIOR_CHANGES: usize = 8;
+/// Changes under way at a time once work is seen.
+const CHANGES_AT_A_TIME: usize = 2;
+/// Share of a stage's engines that its work must take before it gets more of them.
+const SHORT_USE: f64 = 0.35;
 /// Engines by which the present split must be off, as a share of all.
 const CHANGE_SHARE: f64 = 0.1;
 
@@ -51,6 +57,18 @@
     pub output_speed: f64,
 }
 
+impl StageDemand {
+    /// Engines whose time the work of a stage takes.
+    fn engines(self, stage: EngineStage) -> f64 {
+        match stage {
+            EngineStage::Prefill => {
+                self.prompt_tokens_per_ms / (self.read_speed.max(0.1) * PREFILL_USE)
+            }
+            EngineStage::Decode => self.output_tokens_per_ms / self.output_speed.max(0.01),
+        }
+    }
+}
+
 /// A change of stage to order.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StageChange {
@@ -71,6 +89,7 @@
     updated: Option<Instant>,
     /// Whether the split is off and not mended yet; it is mended in full once it is off by enough.
     is_correcting: bool,
+    prior_changes: usize,
 }
 
 impl Default for StagePlanner {
@@ -79,6 +98,7 @@
             share: SHARE_PRIOR,
             updated: None,
             is_correcting: false,
+            prior_changes: 0,
         }
     }
 }
@@ -108,7 +128,11 @@
         } else {
             EngineStage::Decode
         };
+        if !self.may_change(sights, stage, demand) {
+            return None;
+        }
         let instance = choose_engine(sights, stage)?;
+        self.prior_changes += usize::from(demand.is_none());
         Some(StageChange {
             instance,
             stage,
@@ -117,6 +141,23 @@
         })
     }
 
+    /// Whether one more engine may get a stage: a few before work, then a few at a time and only for
+    /// a stage that is short of engines.
+    fn may_change(
+        &self,
+        sights: &[StageSight],
+        stage: EngineStage,
+        demand: Option<StageDemand>,
+    ) -> bool {
+        let Some(demand) = demand else {
+            return self.prior_changes < PRIOR_CHANGES;
+        };
+        let changing = sights.iter().filter(|sight| sight.is_changing).count();
+        let present = sights.iter().filter(|sight| sight.stage == stage).count();
+        let needed = demand.engines(stage);
+        changing < CHANGES_AT_A_TIME && needed > present as f64 * SHORT_USE
+    }
+
     fn follow(&mut self, now: Instant, demand: Option<StageDemand>) {
         let elapsed = self
             .updated
@@ -141,9 +182,8 @@
 
 /// Share of the engines' time that reading takes, if any work is asked for.
 fn demand_share(demand: StageDemand) -> Option<f64> {
-    let prefill = demand.prompt_tokens_per_ms / (demand.read_speed.max(0.1) * PREFILL_USE);
-    let decode = demand.output_tokens_per_ms / demand.output_speed.max(0.01);
-    let total = prefill + decode;
+    let prefill = demand.engines(EngineStage::Prefill);
+    let total = prefill + demand.engines(EngineStage::Decode);
     (total > 0.0).then(|| prefill / total)
 }
 
--- a/crates/policy/tests/stages.rs
+++ b/crates/policy/tests/stages.rs
@@ -81,6 +81,38 @@
     }
 }
 
+/// A large fleet with little work: nothing is short, and nothing changes but a few before work.
+#[test]
+fn plan_large_idle_fleet() {
+    let mut engines = sights(1_000, 2_000);
+    let mut planner = StagePlanner::default();
+    let start = Instant::now();
+    let before = run(&mut planner, &mut engines, start, 10, |_| None);
+    let later = start + Duration::from_secs(10);
+    let after = run(&mut planner, &mut engines, later, 300, |_| {
+        demand(20.0, 10.0)
+    });
+    assert!(before <= 8 && after == 0, "{before} and {after} changes");
+}
+
+/// Changes take engines away for seconds: two at a time while there is work.
+#[test]
+fn plan_few_at_a_time() {
+    let mut engines = sights(10, 40);
+    let mut planner = StagePlanner::default();
+    let start = Instant::now();
+    let mut changes = 0;
+    for second in 0..30 {
+        let now = start + Duration::from_secs(second);
+        while let Some(change) = planner.plan(now, &engines, demand(30.0, 10.0)) {
+            let changed = engines.iter_mut().find(|e| e.instance == change.instance);
+            changed.unwrap().is_changing = true;
+            changes += 1;
+        }
+    }
+    assert_eq!(changes, 2, "none of them has ended");
+}
+
 /// A mix that alternates within seconds is borne by queues.
 #[test]
 fn plan_bursts_of_seconds() {
