--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -101,23 +101,38 @@
     call: impl Future<Output = Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
     let result = call.await;
-    let disturbed = match &result {
-        Ok(_) | Err(PlatformError::HistoryGone) => false,
-        Err(_) => true,
+    let error = match &result {
+        Ok(_) | Err(PlatformError::HistoryGone) => None,
+        Err(error) => Some(error.to_string()),
+    };
+    let name = if error.is_some() {
+        "failed"
+    } else {
+        "answered"
     };
-    let name = if disturbed { "failed" } else { "answered" };
     shared.metrics.store_calls.with_label_values(&[name]).inc();
-    if disturbed {
-        let now = Instant::now();
-        let before = shared.lock().store_disturbed.replace(now);
-        let is_new = before.is_none_or(|at| now > at + DOUBT_TIME);
-        if let (true, Err(error)) = (is_new, &result) {
+    note_store(shared, error);
+    result
+}
+
+/// Notes whether the store answers, with a line when that changes.
+fn note_store(shared: &GatewayShared, error: Option<String>) {
+    let now = Instant::now();
+    let mut state = shared.lock();
+    let was_lost = std::mem::replace(&mut state.store_is_lost, error.is_some());
+    if error.is_some() {
+        state.store_disturbed = Some(now);
+    }
+    drop(state);
+    let record = match error {
+        Some(error) if !was_lost => {
             let record = DecisionRecord::new(DecisionKind::Dependency, "store does not answer");
-            let record = record.input("error", error.to_string()).failure();
-            shared.log.decide(record);
+            record.input("error", error).failure()
         }
-    }
-    result
+        None if was_lost => DecisionRecord::new(DecisionKind::Dependency, "store answers again"),
+        _ => return,
+    };
+    shared.log.decide(record);
 }
 
 fn take_config(shared: &GatewayShared, item: &KeyItem) {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -67,6 +67,7 @@
                 let taken = began.elapsed();
                 call.shared.lock().fleet.note_time(&instance, taken);
                 GatewayMetrics::observe(&call.shared.metrics.plain, taken);
+                log_answer(call, &instance, &answer);
                 return finish(answer);
             }
             Err(SendTrouble::Unreached) => {
@@ -148,6 +149,18 @@
     call.shared.log.decide(record.input("left_ms", left));
 }
 
+fn log_answer(call: &CallContext, instance: &InstanceId, answer: &WholeAnswer) {
+    let record = call
+        .record(DecisionKind::Finish, "answered")
+        .chosen(instance)
+        .input("status", answer.response.status().as_u16())
+        .input("taken_ms", call.started.elapsed().as_millis() as u64);
+    let failed = is_error(answer);
+    call.shared
+        .log
+        .decide(if failed { record.failure() } else { record });
+}
+
 fn finish(answer: WholeAnswer) -> Result<Response<ReplyBody>, OwnAnswer> {
     let status = answer.response.status();
     if status.is_success() && !answer.facts.is_signed {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -34,9 +34,9 @@
     OpenRun,
     open_run, //
 };
-use crate::plain::{
-    log_repeat, //
-};
+use crate::outcome::OpenAnswer;
+use crate::plain::log_repeat;
+use crate::reply::OwnAnswer;
 use crate::send::keep_channel;
 
 /// Parts that wait for a slow caller.
@@ -91,7 +91,7 @@
     }
     let (parts, reply_body) = breakable_body(PART_DEPTH);
     let rebuilt = OpenRun {
-        answer: crate::outcome::OpenAnswer {
+        answer: OpenAnswer {
             response: Response::new(body),
             facts: answer.facts,
             channel: answer.channel,
@@ -114,7 +114,7 @@
     let record = record.input("status", head.status.as_u16()).failure();
     call.shared.log.decide(record);
     if head.status.is_success() {
-        return crate::reply::OwnAnswer::Unknown("answer_unsigned").response();
+        return OwnAnswer::Unknown("answer_unsigned").response();
     }
     Response::from_parts(head, body.map_err(|_| BrokenReply).boxed_unsync())
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -36,6 +36,7 @@
     SendTrouble,
     WholeAnswer, //
 };
+use crate::shared::GatewayShared;
 use crate::suspicion::{
     note_answer,
     note_crash, //
@@ -186,11 +187,7 @@
 }
 
 /// Keeps a connection whose answer has been read whole, for as long as its server allows.
-pub(crate) fn keep_channel(
-    shared: &crate::shared::GatewayShared,
-    channel: OpenChannel,
-    facts: &ReplyFacts,
-) {
+pub(crate) fn keep_channel(shared: &GatewayShared, channel: OpenChannel, facts: &ReplyFacts) {
     if facts.closes {
         return;
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -52,7 +52,14 @@
     let (head, body) = request.into_parts();
     let facts = RequestFacts::read(&head.headers);
     let id = String::from_utf8_lossy(&facts.id).into_owned();
+    let mut wait = CallerWait {
+        shared: shared.clone(),
+        id: id.clone(),
+        started,
+        is_over: false,
+    };
     let result = take_request(&shared, started, head, facts, body).await;
+    wait.is_over = true;
     let mut response = result.unwrap_or_else(|answer| {
         log_own_answer(&shared, &id, answer, started);
         answer.response()
@@ -61,6 +68,26 @@
     response
 }
 
+/// A caller that waits for the head of its answer; dropped before that, it has left.
+struct CallerWait {
+    shared: Arc<GatewayShared>,
+    id: String,
+    started: Instant,
+    is_over: bool,
+}
+
+impl Drop for CallerWait {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let record = DecisionRecord::new(DecisionKind::Finish, "caller has left")
+            .request(&self.id)
+            .input("held_ms", self.started.elapsed().as_millis() as u64);
+        self.shared.log.decide(record);
+    }
+}
+
 async fn take_request(
     shared: &Arc<GatewayShared>,
     started: Instant,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -100,6 +100,8 @@
     pub(crate) grace: Duration,
     /// When the gateway began to leave.
     pub(crate) left_at: Option<Instant>,
+    /// Whether the last call of the store failed.
+    pub(crate) store_is_lost: bool,
     /// End of the latest disturbance of the store that this gateway has seen.
     pub(crate) store_disturbed: Option<Instant>,
 }
@@ -145,6 +147,7 @@
                 grace: settings.grace(),
                 left_at: None,
                 turn: OrderTurn::new(PLANNER_LIFETIME, settle),
+                store_is_lost: false,
                 store_disturbed: None,
             }),
             pool: Mutex::new(ChannelPool::default()),
