--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,14 +18,19 @@
     RequestFacts,
     SendFacts, //
 };
-use policy::RouteRule;
+use policy::{
+    Placement,
+    RouteRule, //
+};
 use tokio::time::Instant;
 use units::{
     ConfigVersion,
+    FingerprintId,
     InstanceId,
     ServiceName, //
 };
 
+use crate::reply::OwnAnswer;
 use crate::shared::GatewayShared;
 
 /// Priorities between two ranks of the configuration, so that one may be raised within its rank.
@@ -41,6 +46,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The same when a caller sends the request again.
+    pub(crate) fingerprint: FingerprintId,
     pub(crate) facts: RequestFacts,
     pub(crate) started: Instant,
     /// When the caller or the route gives up.
@@ -90,6 +97,38 @@
         }
     }
 
+    /// Whether a request that may have run may run once more.
+    pub(crate) fn may_run_again(&self, sent: &SendCount) -> bool {
+        self.rule.kind.is_repeatable() && sent.runs < self.rule.max_attempts
+    }
+
+    /// Logs why a send is repeated or given up.
+    pub(crate) fn log_retry(&self, instance: &InstanceId, reason: &str) {
+        let record = self.record(DecisionKind::Retry, reason).chosen(instance);
+        self.shared
+            .log
+            .decide(record.input("left_ms", self.left_ms()));
+    }
+
+    /// Logs a choice with the scores behind it.
+    pub(crate) fn log_choice(&self, placement: &Placement, reason: &str) {
+        let shown = placement.considered.iter();
+        let shown = shown.map(|(instance, score)| format!("{instance}:{score}"));
+        let record = self
+            .record(DecisionKind::Route, reason)
+            .chosen(&placement.instance)
+            .considered(shown.collect())
+            .input("config", self.version.0)
+            .input("uncached_tokens", placement.uncached)
+            .input("left_ms", self.left_ms())
+            .input("wait_ms", placement.wait.as_millis() as u64);
+        self.shared.log.decide(record);
+    }
+
+    fn left_ms(&self) -> u64 {
+        self.time_left().as_millis() as u64
+    }
+
     /// A log record about this request.
     pub(crate) fn record(&self, kind: DecisionKind, reason: impl Into<String>) -> DecisionRecord {
         DecisionRecord::new(kind, reason)
@@ -98,6 +137,11 @@
     }
 }
 
+/// Sends of one request that backend servers may refuse before it is given up.
+pub(crate) const REFUSAL_LIMIT: u32 = 3;
+/// Backend servers that may be out of reach before a request is given up.
+pub(crate) const UNREACHED_LIMIT: u32 = 3;
+
 /// Sends of one request so far.
 #[derive(Debug, Default)]
 pub(crate) struct SendCount {
@@ -118,4 +162,18 @@
     pub(crate) fn is_first(&self) -> bool {
         self.runs + self.refused == 0
     }
+
+    /// Whether nothing has been tried yet.
+    pub(crate) fn is_untried(&self) -> bool {
+        self.is_first() && self.reads + self.unreached == 0
+    }
+
+    /// The answer that is true when a request is given up.
+    pub(crate) fn give_up(&self, reason: &'static str) -> OwnAnswer {
+        if self.runs > 0 {
+            OwnAnswer::Unknown(reason)
+        } else {
+            OwnAnswer::Unavailable(reason)
+        }
+    }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -51,10 +51,7 @@
     answer_readiness, //
 };
 use crate::serve::serve_request;
-use crate::shared::{
-    GatewayShared,
-    LifePhase, //
-};
+use crate::shared::GatewayShared;
 use crate::stages::plan_stages;
 
 /// Time during which a stopping gateway takes what still arrives: the balancer asks once a second
@@ -173,11 +170,9 @@
         let record = DecisionRecord::new(DecisionKind::Process, "stopping");
         self.shared.log.decide(record);
         self.shared.lock().left_at = Some(Instant::now());
-        self.shared.phase.send_replace(LifePhase::Leaving);
         let grace = self.shared.lock().grace;
         let leave = LEAVE_TIME.min(grace / 2);
         sleep(leave).await;
-        self.shared.phase.send_replace(LifePhase::Closing);
         self.server_stop.send_replace(true);
         let rest = grace.saturating_sub(leave + GRACE_MARGIN);
         let finished = timeout(rest, self.server).await.is_ok();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -1,11 +1,12 @@
 //! Requests to model engines: which stage reads the prompt, and which engine generates.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    MutexGuard, //
+};
 
 use hyper::Response;
-use logs::DecisionKind;
 use policy::{
     OpenWork,
     Placement,
@@ -20,7 +21,9 @@
 
 use crate::call::{
     CallContext,
-    SendCount, //
+    REFUSAL_LIMIT,
+    SendCount,
+    UNREACHED_LIMIT, //
 };
 use crate::handle::HandleGuard;
 use crate::metrics::GatewayMetrics;
@@ -29,19 +32,14 @@
     OpenAnswer,
     SendTrouble, //
 };
-use crate::plain::{
-    UNREACHED_LIMIT,
-    log_repeat, //
-};
 use crate::pump::start_pump;
 use crate::reply::OwnAnswer;
 use crate::send::{
     open_send,
     read_whole, //
 };
+use crate::shared::GatewayState;
 
-/// Sends of one request that engines may refuse before it is given up.
-const REFUSAL_LIMIT: u32 = 3;
 /// Reads of a prompt apart before a decode engine reads it itself.
 const READ_LIMIT: u32 = 2;
 
@@ -63,7 +61,6 @@
 pub(crate) async fn serve_generation(
     call: Arc<CallContext>,
 ) -> Result<Response<ReplyBody>, OwnAnswer> {
-    note_offered(&call);
     let mut sent = SendCount::default();
     let run = open_run(&call, &mut sent, None).await?;
     let taken = call.started.elapsed();
@@ -71,25 +68,6 @@
     Ok(start_pump(call, run, sent))
 }
 
-/// Counts the prompt as work asked of the prefill stage, whoever reads it.
-fn note_offered(call: &CallContext) {
-    let now = Instant::now();
-    let mut state = call.shared.lock();
-    let speed = state.speed(&call.service);
-    let avoid = BTreeSet::new();
-    let need = PlacementNeed {
-        service: &call.service,
-        centre: &call.shared.settings.data_centre,
-        avoid: &avoid,
-    };
-    let chain = &call.facts.chain;
-    let place = place_prefill(&state.fleet, now, need, chain, speed);
-    let tokens = place.map_or(chain.tokens(), |place| place.uncached);
-    let sight = state.speeds.entry(call.service.clone()).or_default();
-    sight.offered.add(now, tokens.into());
-    sight.expected.add(now, call.output_tokens().into());
-}
-
 /// Has the prompt read where that is soonest and opens the stream, with further tries as far as
 /// they are allowed.
 pub(crate) async fn open_run(
@@ -106,11 +84,11 @@
             return Err(OwnAnswer::OutOfTime);
         }
         let Some(engine) = choose_decode(call, sent, handle.as_ref()) else {
-            return Err(give_up(sent, "no_engine"));
+            return Err(sent.give_up("no_engine"));
         };
         let instance = engine.placement.instance.clone();
         if !sent.is_first() && !call.shared.spend_repeat(&call.service) {
-            return Err(give_up(sent, "repeats_spent"));
+            return Err(sent.give_up("repeats_spent"));
         }
         let trouble = match send_decode(call, engine, &mut handle, resume_after).await {
             Ok(run) => {
@@ -122,7 +100,7 @@
         };
         sent.avoid.insert(instance.clone());
         note_trouble(call, sent, &trouble)?;
-        log_repeat(call, &instance, trouble.as_str());
+        call.log_retry(&instance, trouble.as_str());
     }
 }
 
@@ -140,22 +118,14 @@
     }
     let reason = trouble.as_str();
     if sent.refused >= REFUSAL_LIMIT || sent.unreached >= UNREACHED_LIMIT {
-        return Err(give_up(sent, reason));
+        return Err(sent.give_up(reason));
     }
-    let may_run = call.rule.kind.is_repeatable() && sent.runs < call.rule.max_attempts;
-    if sent.runs > 0 && !may_run {
+    if sent.runs > 0 && !call.may_run_again(sent) {
         return Err(OwnAnswer::Unknown(reason));
     }
     Ok(())
 }
 
-fn give_up(sent: &SendCount, reason: &'static str) -> OwnAnswer {
-    if sent.runs > 0 {
-        return OwnAnswer::Unknown(reason);
-    }
-    OwnAnswer::Unavailable(reason)
-}
-
 /// Has a prefill engine read the prompt, where that pays.
 async fn read_apart(call: &Arc<CallContext>, sent: &mut SendCount) -> Option<HandleGuard> {
     while sent.reads < READ_LIMIT && sent.unreached < UNREACHED_LIMIT {
@@ -175,7 +145,7 @@
                 sent.reads += u32::from(trouble != SendTrouble::Unreached);
                 sent.unreached += u32::from(trouble == SendTrouble::Unreached);
                 sent.avoid.insert(instance.clone());
-                log_repeat(call, &instance, trouble.as_str());
+                call.log_retry(&instance, trouble.as_str());
             }
         }
     }
@@ -197,21 +167,24 @@
     let speed = state.speed(&call.service);
     let chain = &call.facts.chain;
     let need = need(call, sent);
+    let apart = place_prefill(&state.fleet, now, need, chain, speed);
+    if sent.is_untried() {
+        note_offered(call, &mut state, apart.as_ref());
+    }
     let inline = place_decode(&state.fleet, now, need, chain, speed, None);
     if inline.as_ref().is_some_and(reads_inline) {
         return None;
     }
-    let placement = place_prefill(&state.fleet, now, need, chain, speed)?;
-    let view = state.fleet.get_mut(&placement.instance)?;
-    view.note_read(chain, speed.memory_tokens);
-    let (address, centre) = (view.record.address, view.record.centre.clone());
-    drop(state);
-    log_choice(call, &placement, "prompt is read soonest there");
-    Some(ChosenEngine {
-        placement,
-        address,
-        centre,
-    })
+    take_engine(call, state, apart?, "prompt is read soonest there")
+}
+
+/// Counts the prompt as work asked of the prefill stage, whoever reads it.
+fn note_offered(call: &CallContext, state: &mut GatewayState, apart: Option<&Placement>) {
+    let now = Instant::now();
+    let tokens = apart.map_or(call.facts.chain.tokens(), |place| place.uncached);
+    let sight = state.speeds.entry(call.service.clone()).or_default();
+    sight.offered.add(now, tokens.into());
+    sight.expected.add(now, call.output_tokens().into());
 }
 
 fn choose_decode(
@@ -220,16 +193,27 @@
     handle: Option<&HandleGuard>,
 ) -> Option<ChosenEngine> {
     let now = Instant::now();
-    let mut state = call.shared.lock();
+    let state = call.shared.lock();
     let speed = state.speed(&call.service);
     let chain = &call.facts.chain;
     let source = handle.map(|handle| &handle.centre);
     let placement = place_decode(&state.fleet, now, need(call, sent), chain, speed, source)?;
+    take_engine(call, state, placement, "stream is slowed least there")
+}
+
+/// Notes that a chosen engine will keep the prompt, and logs the choice.
+fn take_engine(
+    call: &CallContext,
+    mut state: MutexGuard<'_, GatewayState>,
+    placement: Placement,
+    reason: &str,
+) -> Option<ChosenEngine> {
+    let memory_tokens = state.speed(&call.service).memory_tokens;
     let view = state.fleet.get_mut(&placement.instance)?;
-    view.note_read(chain, speed.memory_tokens);
+    view.note_read(&call.facts.chain, memory_tokens);
     let (address, centre) = (view.record.address, view.record.centre.clone());
     drop(state);
-    log_choice(call, &placement, "stream is slowed least there");
+    call.log_choice(&placement, reason);
     Some(ChosenEngine {
         placement,
         address,
@@ -237,20 +221,6 @@
     })
 }
 
-fn log_choice(call: &CallContext, placement: &Placement, reason: &str) {
-    let shown = placement.considered.iter();
-    let shown = shown.map(|(instance, score)| format!("{instance}:{score}"));
-    let record = call
-        .record(DecisionKind::Route, reason)
-        .chosen(&placement.instance)
-        .considered(shown.collect())
-        .input("config", call.version.0)
-        .input("uncached_tokens", placement.uncached)
-        .input("left_ms", call.time_left().as_millis() as u64)
-        .input("wait_ms", placement.wait.as_millis() as u64);
-    call.shared.log.decide(record);
-}
-
 async fn send_prefill(
     call: &Arc<CallContext>,
     engine: ChosenEngine,
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -108,7 +108,7 @@
     let write = shared.store.write(Vec::new(), vec![put], Vec::new());
     match counted(shared, write).await? {
         WriteReply::Done(_) => Ok(lease),
-        WriteReply::Conflict | WriteReply::LeaseEnded => Err(PlatformError::HistoryGone),
+        WriteReply::Conflict | WriteReply::LeaseEnded => Err(PlatformError::LeaseEnded),
     }
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -17,7 +17,9 @@
 
 use crate::call::{
     CallContext,
-    SendCount, //
+    REFUSAL_LIMIT,
+    SendCount,
+    UNREACHED_LIMIT, //
 };
 use crate::metrics::GatewayMetrics;
 use crate::open_work::OpenGuard;
@@ -31,18 +33,12 @@
     read_whole, //
 };
 
-/// Sends of one request that backend servers may refuse before it is given up.
-const REFUSAL_LIMIT: u32 = 3;
-
-/// Backend servers that may be out of reach before a request is given up.
-pub(crate) const UNREACHED_LIMIT: u32 = 3;
-
 /// Serves a request whose answer is taken whole.
 pub(crate) async fn serve_plain(call: &CallContext) -> Result<Response<ReplyBody>, OwnAnswer> {
     let mut sent = SendCount::default();
     loop {
         let Some((instance, address)) = place(call, &sent) else {
-            return Err(unplaced(&sent));
+            return Err(sent.give_up("no_backend"));
         };
         let work = OpenWork {
             requests: 1,
@@ -61,7 +57,7 @@
             Ok(answer) => {
                 sent.runs += 1;
                 if is_error(&answer) && may_repeat(call, &sent) {
-                    log_repeat(call, &instance, "error_status");
+                    call.log_retry(&instance, "error_status");
                     continue;
                 }
                 let taken = began.elapsed();
@@ -73,24 +69,24 @@
             Err(SendTrouble::Unreached) => {
                 sent.unreached += 1;
                 if sent.unreached >= UNREACHED_LIMIT {
-                    return Err(not_run(&sent, "unreached"));
+                    return Err(sent.give_up("unreached"));
                 }
-                log_repeat(call, &instance, "unreached");
+                call.log_retry(&instance, "unreached");
             }
             Err(SendTrouble::NotRun(reason)) => {
                 sent.refused += 1;
                 let again = sent.refused < REFUSAL_LIMIT && sent.runs == 0;
                 if !(again && call.shared.spend_repeat(&call.service)) {
-                    return Err(not_run(&sent, reason));
+                    return Err(sent.give_up(reason));
                 }
-                log_repeat(call, &instance, reason);
+                call.log_retry(&instance, reason);
             }
             Err(SendTrouble::Unknown(reason)) => {
                 sent.runs += 1;
                 if !may_repeat(call, &sent) {
                     return Err(OwnAnswer::Unknown(reason));
                 }
-                log_repeat(call, &instance, reason);
+                call.log_retry(&instance, reason);
             }
             Err(SendTrouble::OutOfTime) => return Err(OwnAnswer::OutOfTime),
         }
@@ -107,30 +103,10 @@
     let placement = place_call(&state.fleet, Instant::now(), need)?;
     let address = state.fleet.get(&placement.instance)?.record.address;
     drop(state);
-    let record = call
-        .record(DecisionKind::Route, "least expected time")
-        .chosen(&placement.instance)
-        .input("config", call.version.0)
-        .input("left_ms", call.time_left().as_millis() as u64)
-        .input("wait_ms", placement.wait.as_millis() as u64);
-    let shown = placement.considered.iter();
-    let shown = shown.map(|(instance, score)| format!("{instance}:{score}"));
-    call.shared.log.decide(record.considered(shown.collect()));
+    call.log_choice(&placement, "least expected time");
     Some((placement.instance, address))
 }
 
-/// What is true when no backend server is left to try.
-fn unplaced(sent: &SendCount) -> OwnAnswer {
-    not_run(sent, "no_backend")
-}
-
-fn not_run(sent: &SendCount, reason: &'static str) -> OwnAnswer {
-    if sent.runs > 0 {
-        return OwnAnswer::Unknown(reason);
-    }
-    OwnAnswer::Unavailable(reason)
-}
-
 fn is_error(answer: &WholeAnswer) -> bool {
     let status = answer.response.status();
     status.is_server_error() || (status.is_success() && !answer.facts.is_signed)
@@ -138,15 +114,7 @@
 
 /// Whether a request that has run may be sent once more, taking it from the budget.
 fn may_repeat(call: &CallContext, sent: &SendCount) -> bool {
-    call.rule.kind.is_repeatable()
-        && sent.runs < call.rule.max_attempts
-        && call.shared.spend_repeat(&call.service)
-}
-
-pub(crate) fn log_repeat(call: &CallContext, instance: &InstanceId, reason: &str) {
-    let record = call.record(DecisionKind::Retry, reason).chosen(instance);
-    let left = call.time_left().as_millis() as u64;
-    call.shared.log.decide(record.input("left_ms", left));
+    call.may_run_again(sent) && call.shared.spend_repeat(&call.service)
 }
 
 fn log_answer(call: &CallContext, instance: &InstanceId, answer: &WholeAnswer) {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -34,8 +34,6 @@
     OpenRun,
     open_run, //
 };
-use crate::outcome::OpenAnswer;
-use crate::plain::log_repeat;
 use crate::reply::OwnAnswer;
 use crate::send::keep_channel;
 
@@ -75,47 +73,31 @@
 /// Passes the head of a stream on and its events as they come.
 pub(crate) fn start_pump(
     call: Arc<CallContext>,
-    run: OpenRun,
+    mut run: OpenRun,
     sent: SendCount,
 ) -> Response<ReplyBody> {
-    let OpenRun {
-        answer,
-        open,
-        engine,
-    } = run;
-    let (mut head, body) = answer.response.into_parts();
-    strip_hop_headers(&mut head.headers);
-    if !head.status.is_success() || !answer.facts.is_signed {
-        let reply = Response::from_parts(head, ());
-        return pass_failure(&call, reply, body);
+    let is_success = run.answer.response.status().is_success();
+    if !is_success || !run.answer.facts.is_signed {
+        return pass_failure(&call, run.answer.response);
     }
+    let (mut head, body) = run.answer.response.into_parts();
+    run.answer.response = Response::new(body);
+    strip_hop_headers(&mut head.headers);
     let (parts, reply_body) = breakable_body(PART_DEPTH);
-    let rebuilt = OpenRun {
-        answer: OpenAnswer {
-            response: Response::new(body),
-            facts: answer.facts,
-            channel: answer.channel,
-        },
-        open,
-        engine,
-    };
-    tokio::spawn(pump_stream(call, rebuilt, sent, parts));
+    tokio::spawn(pump_stream(call, run, sent, parts));
     Response::from_parts(head, reply_body)
 }
 
 /// Passes an error answer of an engine on.
-fn pass_failure(
-    call: &Arc<CallContext>,
-    reply: Response<()>,
-    body: Incoming,
-) -> Response<ReplyBody> {
-    let (head, ()) = reply.into_parts();
+fn pass_failure(call: &CallContext, answer: Response<Incoming>) -> Response<ReplyBody> {
+    let (mut head, body) = answer.into_parts();
     let record = call.record(DecisionKind::Finish, "engine answered with an error");
     let record = record.input("status", head.status.as_u16()).failure();
     call.shared.log.decide(record);
     if head.status.is_success() {
         return OwnAnswer::Unknown("answer_unsigned").response();
     }
+    strip_hop_headers(&mut head.headers);
     Response::from_parts(head, body.map_err(|_| BrokenReply).boxed_unsync())
 }
 
@@ -140,11 +122,11 @@
             RunEnd::Broken(reason) => reason,
         };
         note_broken(&call, &instance);
-        if !may_repeat_stream(&call, &sent) {
+        if !call.may_run_again(&sent) {
             log_end(&call, &pace, reason, true);
             break;
         }
-        log_repeat(&call, &instance, reason);
+        call.log_retry(&instance, reason);
         cursor.start_run();
         match open_run(&call, &mut sent, cursor.last()).await {
             Ok(next) if next.answer.response.status().is_success() => run = next,
@@ -165,10 +147,6 @@
         .note(Instant::now(), instance, SendOutcome::Broken);
 }
 
-fn may_repeat_stream(call: &CallContext, sent: &SendCount) -> bool {
-    call.rule.kind.is_repeatable() && sent.runs < call.rule.max_attempts
-}
-
 fn log_end(call: &CallContext, pace: &StreamPace, reason: &str, failed: bool) {
     let taken = call.started.elapsed().as_millis() as u64;
     let record = call
@@ -244,7 +222,7 @@
             Some(Err(_)) => return RunEnd::Broken("stream_cut"),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
-        call.shared.note_heard(&instance, true);
+        call.shared.note_heard(&instance);
         if began.is_none() {
             began = Some(Instant::now());
             open.prompt_read();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -9,6 +9,7 @@
     Full,
     Limited, //
 };
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{
     Request,
@@ -59,7 +60,9 @@
 ) -> Result<OpenAnswer, SendTrouble> {
     let result = timeout_at(call.deadline, open_untimed(call, address, facts)).await;
     let result = result.unwrap_or(Err(SendTrouble::OutOfTime));
-    call.shared.note_heard(&facts.instance, result.is_ok());
+    if result.is_ok() {
+        call.shared.note_heard(&facts.instance);
+    }
     match &result {
         Err(SendTrouble::Unknown("connection_broke")) => note_crash(call, &facts.instance),
         Ok(answer) if answer.response.status().is_success() => note_answer(call),
@@ -140,7 +143,7 @@
 
 fn judge_head(
     call: &CallContext,
-    response: Response<hyper::body::Incoming>,
+    response: Response<Incoming>,
     channel: OpenChannel,
 ) -> Result<OpenAnswer, SendTrouble> {
     let (head, body) = response.into_parts();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -38,7 +38,10 @@
     mark_leaving, //
 };
 use crate::shared::GatewayShared;
-use crate::suspicion::is_kept_out;
+use crate::suspicion::{
+    fingerprint,
+    is_kept_out, //
+};
 
 /// Time that an answer of the gateway's own needs to be out by the caller's deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
@@ -112,6 +115,7 @@
         shared: shared.clone(),
         service,
         version: table.version,
+        fingerprint: fingerprint(&head.method, head.uri.path(), &body),
         method: head.method,
         uri: head.uri,
         headers: head.headers,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -31,7 +31,6 @@
     SuspectRegister,
     takes_while_leaving, //
 };
-use tokio::sync::watch;
 use tokio::time::Instant;
 use units::{
     FingerprintId,
@@ -50,22 +49,10 @@
 /// that one or two say little.
 const CRASH_LIMIT: usize = 3;
 
-/// Where a gateway stands between start and end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum LifePhase {
-    /// Takes requests.
-    Serving,
-    /// Says that it is not ready, and still takes what arrives.
-    Leaving,
-    /// Closes connections as soon as they are idle.
-    Closing,
-}
-
 /// What a gateway knows of the engines of one service.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct SpeedSight {
     pub(crate) prefill: ReadSpeed,
-    pub(crate) inline: ReadSpeed,
     /// Prompt tokens that callers ask to have read.
     pub(crate) offered: OfferedRate,
     /// Tokens that callers expect to be generated.
@@ -120,7 +107,6 @@
     pub(crate) log: LogSink,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) store: KeyStore,
-    pub(crate) phase: watch::Sender<LifePhase>,
     state: Mutex<GatewayState>,
     pool: Mutex<ChannelPool>,
 }
@@ -132,7 +118,6 @@
             store: KeyStore::new(settings.store, STORE_CALL_TIME),
             log,
             metrics: GatewayMetrics::new(),
-            phase: watch::Sender::new(LifePhase::Serving),
             state: Mutex::new(GatewayState {
                 table: None,
                 fleet: BackendFleet::default(),
@@ -173,12 +158,12 @@
 
     /// Whether the gateway is on its way out.
     pub(crate) fn is_leaving(&self) -> bool {
-        *self.phase.borrow() != LifePhase::Serving
+        self.lock().left_at.is_some()
     }
 
     /// Notes a sign of life of a backend server.
-    pub(crate) fn note_heard(&self, instance: &InstanceId, heard: bool) {
-        if let (true, Some(view)) = (heard, self.lock().fleet.get_mut(instance)) {
+    pub(crate) fn note_heard(&self, instance: &InstanceId) {
+        if let Some(view) = self.lock().fleet.get_mut(instance) {
             view.hear(Instant::now());
         }
     }
@@ -232,7 +217,8 @@
         let engine = spec.and_then(|spec| spec.engine.as_ref());
         EngineSpeed {
             prefill: sight.prefill.tokens_per_ms(),
-            inline: sight.inline.tokens_per_ms(),
+            // Mixed with generation, it is not measured.
+            inline: ReadSpeed::default().tokens_per_ms(),
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
         }
     }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -44,6 +44,7 @@
 const CALM_TIME: Duration = Duration::from_secs(4);
 /// Time for an engine to take an order.
 const ORDER_TIME: Duration = Duration::from_millis(800);
+
 /// A change with the authority under which it is ordered.
 struct PlannedOrder {
     address: SocketAddr,
@@ -120,7 +121,8 @@
 
 async fn give_order(shared: &GatewayShared, planned: PlannedOrder) {
     let outcome = match send_checked(shared, &planned).await {
-        Ok(status) => status.to_string(),
+        Ok(Some(status)) => status.to_string(),
+        Ok(None) => "the turn ended before the order".to_owned(),
         Err(error) => error.to_string(),
     };
     let change = &planned.change;
@@ -138,7 +140,7 @@
 async fn send_checked(
     shared: &GatewayShared,
     planned: &PlannedOrder,
-) -> Result<u16, PlatformError> {
+) -> Result<Option<u16>, PlatformError> {
     let instance = &planned.change.instance;
     let report = read_report(planned.address, instance, ORDER_TIME).await?;
     let order = StageOrder {
@@ -150,7 +152,7 @@
     };
     // The report took time; the turn may have ended meanwhile.
     if shared.lock().turn.epoch(boot_time()) != Some(planned.epoch) {
-        return Err(PlatformError::HistoryGone);
+        return Ok(None);
     }
     let answer = send_order(planned.address, &order, ORDER_TIME).await;
     let label = answer.as_ref().map_or("lost", |status| match status {
@@ -162,7 +164,7 @@
         // A later holder has given orders.
         shared.lock().turn.lose();
     }
-    answer
+    answer.map(Some)
 }
 
 impl GatewayState {
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -1,5 +1,6 @@
 //! Notes which requests ran where backend servers crashed, and keeps out those that cause it.
 
+use hyper::Method;
 use logs::DecisionKind;
 use policy::{
     CrashId,
@@ -18,15 +19,15 @@
 const TOLD_LIMIT: usize = 32;
 
 /// Fingerprint of a request, the same when a caller sends it again.
-fn fingerprint(call: &CallContext) -> FingerprintId {
-    let path = XxHash3_64::oneshot(call.uri.path().as_bytes());
-    let seed = path ^ XxHash3_64::oneshot(call.method.as_str().as_bytes());
-    FingerprintId(XxHash3_64::oneshot_with_seed(seed, &call.body))
+pub(crate) fn fingerprint(method: &Method, path: &str, body: &[u8]) -> FingerprintId {
+    let path = XxHash3_64::oneshot(path.as_bytes());
+    let seed = path ^ XxHash3_64::oneshot(method.as_str().as_bytes());
+    FingerprintId(XxHash3_64::oneshot_with_seed(seed, body))
 }
 
 /// Notes that the connection broke while a request ran and before any part of its answer.
 pub(crate) fn note_crash(call: &CallContext, instance: &InstanceId) {
-    let fingerprint = fingerprint(call);
+    let fingerprint = call.fingerprint;
     let crash = CrashId(rand::random());
     let mut state = call.shared.lock();
     state.suspects.crash(Instant::now(), crash, &[fingerprint]);
@@ -42,7 +43,7 @@
 
 /// Notes that a request was answered, so that it does not cause crashes.
 pub(crate) fn note_answer(call: &CallContext) {
-    call.shared.lock().suspects.clear(fingerprint(call));
+    call.shared.lock().suspects.clear(call.fingerprint);
 }
 
 /// Whether a request is kept out.
@@ -51,6 +52,6 @@
         .shared
         .lock()
         .suspects
-        .verdict(Instant::now(), fingerprint(call));
+        .verdict(Instant::now(), call.fingerprint);
     matches!(verdict, SuspectVerdict::Quarantined(_))
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -26,8 +26,6 @@
     Unreached,
     /// The connection broke or carried bytes that are no answer.
     Broken,
-    /// No answer came within the time expected.
-    Silent,
 }
 
 /// What the answers of one backend server say of it.
@@ -55,7 +53,7 @@
                 self.streak = self.streak.max(STREAK_LIMIT - 1);
                 self.pause(now)
             }
-            SendOutcome::Broken | SendOutcome::Silent => self.pause(now),
+            SendOutcome::Broken => self.pause(now),
             SendOutcome::Error => false,
         }
     }
--- a/crates/web/src/channel.rs
+++ b/crates/web/src/channel.rs
@@ -63,14 +63,9 @@
         let opening = tokio::time::timeout(time, TcpStream::connect(address)).await;
         let stream = opening.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
         let stream = stream.context(ConnectSnafu { address })?;
-        set_options(&stream).context(ConnectSnafu { address })?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
-            .await
-            .context(ExchangeSnafu)?;
-        tokio::spawn(connection);
         Ok(Self {
             address,
-            sender,
+            sender: start_exchange(address, stream).await?,
             is_reused: false,
         })
     }
@@ -99,8 +94,20 @@
     }
 }
 
+/// Makes a connection ready for requests and drives it until it is closed.
+pub(crate) async fn start_exchange(
+    address: SocketAddr,
+    stream: TcpStream,
+) -> Result<SendRequest<Full<Bytes>>, WebError> {
+    set_options(&stream).context(ConnectSnafu { address })?;
+    let started = handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = started.context(ExchangeSnafu)?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
 /// Sets the options by which a peer that has vanished is noticed.
-pub(crate) fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -151,9 +158,4 @@
         }
         self.idle.retain(|_, idle| !idle.is_empty());
     }
-
-    /// Closes the idle connections to an address.
-    pub fn forget(&mut self, address: SocketAddr) {
-        self.idle.remove(&address);
-    }
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::{
     HeaderMap,
     Method,
@@ -14,13 +13,12 @@
     Response,
     StatusCode, //
 };
-use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
 use tokio::net::TcpStream;
 
 use crate::WebError;
 use crate::body::read_body;
-use crate::channel::set_options;
+use crate::channel::start_exchange;
 use crate::error::{
     BuildSnafu,
     ConnectSnafu,
@@ -91,10 +89,7 @@
     let address = call.address;
     let stream = TcpStream::connect(address).await;
     let stream = stream.context(ConnectSnafu { address })?;
-    set_options(&stream).context(ConnectSnafu { address })?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.context(ExchangeSnafu)?;
-    tokio::spawn(connection);
+    let mut sender = start_exchange(address, stream).await?;
     let mut builder = Request::builder().method(call.method).uri(&call.path);
     if !call.headers.iter().any(|(name, _)| *name == "host") {
         builder = builder.header("host", address.to_string());
