web, gateway: callers are held to the limits of the configuration

Cause: idleTimeoutMs, headerTimeoutMs and maxHeaderBytes were read and not applied. Connections were closed after 15 s of idleness and heads cut at 32 KB and 64 headers on every deployment; one with a longer idle time would have had callers' connections closed under them. Two Host headers were routed by the first, while a backend server may go by the other.

Ruled out: hyper's own header time. It is fixed when a connection is accepted and covers idleness and heads with one figure.

Change: a connection knows whether it is idle, has a head under way or is being answered, from the bytes that its stream takes and the end of its reply's body, and one timer follows the bounds in force. A head over its bound gets 431, a second Host 400.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -57,10 +57,8 @@
             instance: settings.instance.clone(),
             incarnation: IncarnationId(rand::random()),
         };
-        let limits = ServerLimits {
-            connections: settings.limits.connections as usize,
-            header_time: Duration::from_millis(settings.limits.header_ms.into()),
-        };
+        let header_time = Duration::from_millis(settings.limits.header_ms.into());
+        let limits = ServerLimits::fixed(settings.limits.connections as usize, header_time);
         let (claims, claim_orders) = claim_queue();
         let shared = Arc::new(EntryShared::new(settings, identity, log, claims));
         let handler_shared = shared.clone();
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -17,10 +17,8 @@
     serve, //
 };
 
-const LIMITS: ServerLimits = ServerLimits {
-    connections: 8_192,
-    header_time: Duration::from_secs(60),
-};
+const CONNECTIONS: usize = 8_192;
+const IDLE_TIME: Duration = Duration::from_secs(60);
 
 /// A running server; it stops when this is dropped.
 #[derive(Debug)]
@@ -44,6 +42,7 @@
     let listener = listen(address)?;
     let address = listener.local_addr()?;
     let (stop, stopped) = watch::channel(false);
-    tokio::spawn(serve(listener, LIMITS, stopped, handler));
+    let limits = ServerLimits::fixed(CONNECTIONS, IDLE_TIME);
+    tokio::spawn(serve(listener, limits, stopped, handler));
     Ok(ServerHandle { address, stop })
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -59,8 +59,6 @@
 const LEAVE_TIME: Duration = Duration::from_millis(2_300);
 /// Time before SIGKILL by which the gateway ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
-/// Time for which a connection of a caller may be idle, as long as the configuration is not known.
-const IDLE_TIME: Duration = Duration::from_secs(15);
 /// Descriptors kept for backend servers, the store and files.
 const OWN_DESCRIPTORS: u32 = 1_200;
 
@@ -73,16 +71,10 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-fn limits(settings: &GatewaySettings) -> ServerLimits {
+fn connection_limit(settings: &GatewaySettings) -> usize {
     let half = settings.descriptors / 2;
-    let connections = settings
-        .descriptors
-        .saturating_sub(OWN_DESCRIPTORS)
-        .max(half);
-    ServerLimits {
-        connections: connections as usize,
-        header_time: IDLE_TIME,
-    }
+    let rest = settings.descriptors.saturating_sub(OWN_DESCRIPTORS);
+    rest.max(half) as usize
 }
 
 fn serve_on<F, R>(
@@ -97,7 +89,10 @@
     let listener = listen(address).context(ListenSnafu { address })?;
     let address = listener.local_addr().context(ListenSnafu { address })?;
     let (stop, stopped) = watch::channel(false);
-    let limits = limits(&shared.settings);
+    let limits = ServerLimits {
+        connections: connection_limit(&shared.settings),
+        bounds: shared.caller_bounds.subscribe(),
+    };
     let shared = shared.clone();
     let handle = move |request| handler(shared.clone(), request);
     let server = tokio::spawn(serve(listener, limits, stopped, handle));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -21,6 +21,7 @@
     Instant,
     sleep, //
 };
+use web::ConnectionBounds;
 
 use crate::members::{
     OWN_PREFIX,
@@ -156,8 +157,14 @@
         return;
     }
     let routes = table.len();
+    let bounds = ConnectionBounds {
+        header_bytes: table.limits.header_bytes,
+        header_time: table.limits.header_time,
+        idle_time: table.limits.idle_time,
+    };
     state.table = Some(Arc::new(table));
     drop(state);
+    shared.caller_bounds.send_replace(bounds);
     shared.metrics.config_version.set(version.0 as i64);
     let record = DecisionRecord::new(DecisionKind::Config, "in force")
         .chosen(version)
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -25,6 +25,10 @@
     NotConfigured,
     /// No route matches.
     NoRoute,
+    /// The head does not say what is asked for.
+    BadHead,
+    /// The head is longer than allowed.
+    HeadTooLarge,
     /// The body is longer than allowed.
     TooLarge,
     /// The body did not arrive whole.
@@ -56,6 +60,8 @@
         match self {
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
+            Self::BadHead => "bad_head",
+            Self::HeadTooLarge => "head_too_large",
             Self::TooLarge => "too_large",
             Self::BadBody => "bad_body",
             Self::Unavailable(reason) | Self::Unknown(reason) => reason,
@@ -83,7 +89,8 @@
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,10 +16,7 @@
     DecisionRecord, //
 };
 use platform::RequestFacts;
-use policy::{
-    RouteRule,
-    RouteTable, //
-};
+use policy::RouteTable;
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -100,7 +97,12 @@
 ) -> Result<Response<ReplyBody>, OwnAnswer> {
     let table = shared.lock().table.clone();
     let table = table.ok_or(OwnAnswer::NotConfigured)?;
-    let rule = find_rule(&table, &head).ok_or(OwnAnswer::NoRoute)?;
+    if head_bytes(&head) > table.limits.header_bytes {
+        return Err(OwnAnswer::HeadTooLarge);
+    }
+    let host = named_host(&head)?;
+    let rule = table.find(host, head.uri.path()).cloned();
+    let rule = rule.ok_or(OwnAnswer::NoRoute)?;
     let kind = rule.kind.as_str();
     shared.metrics.requests.with_label_values(&[kind]).inc();
     if !shared.takes(rule.kind, rule.timeout) {
@@ -141,10 +143,28 @@
     }
 }
 
-fn find_rule(table: &RouteTable, head: &Parts) -> Option<Arc<RouteRule>> {
-    let named = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = head.uri.host().or(named).unwrap_or_default();
-    table.find(host, head.uri.path()).cloned()
+/// Bytes of a head as its caller wrote it: names, values and what separates them.
+fn head_bytes(head: &Parts) -> usize {
+    /// A colon, a space and the end of the line.
+    const SEPARATOR_BYTES: usize = 4;
+    let sizes = head.headers.iter();
+    let headers: usize = sizes
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATOR_BYTES)
+        .sum();
+    let target = head.uri.path_and_query();
+    headers + target.map_or(0, |target| target.as_str().len())
+}
+
+/// The host that a request names. Two of them leave open which was meant, here and for everyone
+/// behind the gateway.
+fn named_host(head: &Parts) -> Result<&str, OwnAnswer> {
+    let mut named = head.headers.get_all(HOST).iter();
+    let first = named.next();
+    if named.next().is_some() {
+        return Err(OwnAnswer::BadHead);
+    }
+    let first = first.and_then(|value| value.to_str().ok());
+    Ok(head.uri.host().or(first).unwrap_or_default())
 }
 
 async fn take_body(
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -31,13 +31,17 @@
     SuspectRegister,
     takes_while_leaving, //
 };
+use tokio::sync::watch;
 use tokio::time::Instant;
 use units::{
     FingerprintId,
     InstanceId,
     ServiceName, //
 };
-use web::ChannelPool;
+use web::{
+    ChannelPool,
+    ConnectionBounds, //
+};
 
 use crate::members::PLANNER_LIFETIME;
 use crate::metrics::GatewayMetrics;
@@ -49,6 +53,14 @@
 /// that one or two say little.
 const CRASH_LIMIT: usize = 3;
 
+/// Bounds on callers' connections before a configuration names them: those of the platform's
+/// example.
+const FIRST_BOUNDS: ConnectionBounds = ConnectionBounds {
+    header_bytes: 16 * 1024,
+    header_time: Duration::from_secs(15),
+    idle_time: Duration::from_secs(15),
+};
+
 /// What a gateway knows of the engines of one service.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct SpeedSight {
@@ -107,6 +119,8 @@
     pub(crate) log: LogSink,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) store: KeyStore,
+    /// Bounds on callers' connections, from the configuration.
+    pub(crate) caller_bounds: watch::Sender<ConnectionBounds>,
     state: Mutex<GatewayState>,
     pool: Mutex<ChannelPool>,
 }
@@ -118,6 +132,7 @@
             store: KeyStore::new(settings.store, STORE_CALL_TIME),
             log,
             metrics: GatewayMetrics::new(),
+            caller_bounds: watch::Sender::new(FIRST_BOUNDS),
             state: Mutex::new(GatewayState {
                 table: None,
                 fleet: BackendFleet::default(),
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,8 +1,13 @@
 //! Serves connections up to limits and stops gracefully.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{
+    Future,
+    poll_fn, //
+};
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -12,9 +17,10 @@
     Request,
     Response, //
 };
-use hyper_util::rt::{
-    TokioIo,
-    TokioTimer, //
+use hyper_util::rt::TokioIo;
+use tokio::io::{
+    AsyncRead,
+    AsyncWrite, //
 };
 use tokio::net::{
     TcpListener,
@@ -25,22 +31,27 @@
     watch, //
 };
 use tokio::task::JoinSet;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
-use crate::ReplyBody;
+use crate::waiting::{
+    ConnectionWait,
+    WaitEnd,
+    WatchedBody,
+    WatchedStream, //
+};
+use crate::{
+    ConnectionBounds,
+    ReplyBody,
+    ServerLimits, //
+};
 
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-const BUFFER_BYTES: usize = 32 * 1024;
-const HEADER_COUNT: usize = 64;
-
-/// Bounds on what connections may hold.
-#[derive(Debug, Clone, Copy)]
-pub struct ServerLimits {
-    /// Connections served at a time; more wait in the kernel's queue.
-    pub connections: usize,
-    /// Time for all headers of a request to arrive, on idle connections too.
-    pub header_time: Duration,
-}
+/// Room beside a head, so that one over its bound is told apart from a connection's own limit.
+const SPARE_BYTES: usize = 16 * 1024;
 
 /// Serves until the stop signal turns true, then returns once no connection is left. Connections
 /// that still arrive meanwhile get one answer each.
@@ -74,7 +85,8 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let serving = serve_connection(stream, limits, stop.clone(), handler.clone());
+        let serving =
+            serve_connection(stream, limits.bounds.clone(), stop.clone(), handler.clone());
         serving_set.spawn(async move {
             serving.await;
             drop(seat);
@@ -93,8 +105,8 @@
 
 async fn serve_connection<F, R>(
     stream: TcpStream,
-    limits: ServerLimits,
-    mut stop: watch::Receiver<bool>,
+    bounds: watch::Receiver<ConnectionBounds>,
+    stop: watch::Receiver<bool>,
     handler: F,
 ) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
@@ -102,21 +114,79 @@
 {
     // A failure to set this option costs time only.
     let _ = stream.set_nodelay(true);
+    serve_stream(stream, bounds, stop, handler).await;
+}
+
+/// Serves one connection until its peer closes it, its time is over, or the stop signal turns true
+/// and its last request is answered.
+pub async fn serve_stream<S, F, R>(
+    stream: S,
+    bounds: watch::Receiver<ConnectionBounds>,
+    mut stop: watch::Receiver<bool>,
+    handler: F,
+) where
+    S: AsyncRead + AsyncWrite + Unpin,
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Response<ReplyBody>> + Send + 'static,
+{
+    let wait = ConnectionWait::accepted();
+    let answered = wait.clone();
     let service = service_fn(move |request| {
-        let reply = handler(request);
-        async move { Ok::<_, Infallible>(reply.await) }
+        answered.begin_request();
+        let (reply, wait) = (handler(request), answered.clone());
+        async move {
+            let reply = reply.await;
+            Ok::<_, Infallible>(reply.map(|body| WatchedBody { body, wait }))
+        }
     });
+    let stream = WatchedStream {
+        stream,
+        wait: wait.clone(),
+    };
+    let buffer_bytes = bounds.borrow().header_bytes + SPARE_BYTES;
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_time)
-        .max_buf_size(BUFFER_BYTES)
-        .max_headers(HEADER_COUNT)
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = stop.wait_for(|stopping| *stopping) => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        ended = until_ended(connection.as_mut(), &wait, &bounds) => ended,
+        _ = stop.wait_for(|stopping| *stopping) => Some(WaitEnd::Idle),
+    };
+    if ended == Some(WaitEnd::Idle) {
+        connection.as_mut().graceful_shutdown();
+        // The peer learns of a broken connection by itself.
+        until_ended(connection, &wait, &bounds).await;
     }
-    // The peer learns of a broken connection by itself.
-    let _ = connection.await;
+}
+
+/// Drives a connection until it ends by itself or its peer has kept it waiting for too long.
+async fn until_ended<C: Future>(
+    mut connection: Pin<&mut C>,
+    wait: &ConnectionWait,
+    bounds: &watch::Receiver<ConnectionBounds>,
+) -> Option<WaitEnd> {
+    let timer = sleep(bounds.borrow().header_time);
+    tokio::pin!(timer);
+    poll_fn(|context| {
+        if connection.as_mut().poll(context).is_ready() {
+            return Poll::Ready(None);
+        }
+        let due = wait.due(*bounds.borrow());
+        // Set back only where it would fire too late, not at each request.
+        if let Some((due, _)) = due
+            && due < timer.deadline()
+        {
+            timer.as_mut().reset(due);
+        }
+        while timer.as_mut().poll(context).is_ready() {
+            let now = Instant::now();
+            match due {
+                Some((due, end)) if due <= now => return Poll::Ready(Some(end)),
+                Some((due, _)) => timer.as_mut().reset(due),
+                None => timer.as_mut().reset(now + bounds.borrow().header_time),
+            }
+        }
+        Poll::Pending
+    })
+    .await
 }
