policy: waits by rank, and prompts that are late in any case are read last

Offered prompts go to three times the usual for seconds; predicted waits counted prompts of all ranks, while engines take the urgent ones first: a question predicted at 1.4 s was read in 0.19 s, a draft predicted at 1.7 s in 0.48 s. And drafts queue behind drafts that are late already, until all of them are.

Change: open prompt tokens are counted by rank, also in what gateways tell each other; a prompt whose reading is predicted to end after its target goes to the last priority at the prefill engine. The most urgent rank is exempt.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -19,7 +19,9 @@
     SendFacts, //
 };
 use policy::{
+    EngineSpeed,
     Placement,
+    PromptUrgency,
     RouteRule, //
 };
 use tokio::time::Instant;
@@ -33,9 +35,6 @@
 use crate::reply::OwnAnswer;
 use crate::shared::GatewayShared;
 
-/// Priorities between two ranks of the configuration, so that one may be raised within its rank.
-const RANK_STRIDE: u8 = 3;
-
 /// A request with the route that it takes.
 pub(crate) struct CallContext {
     pub(crate) shared: Arc<GatewayShared>,
@@ -60,19 +59,20 @@
         String::from_utf8_lossy(&self.facts.id).into_owned()
     }
 
-    /// Step of the priority within the rank: prompts that take most of their target to read would be
-    /// late in any case, and go after those that they would make late.
-    fn size_step(&self) -> u8 {
-        let speed = self.shared.lock().speed(&self.service).prefill;
-        let read_ms = f64::from(self.facts.chain.tokens()) / speed;
-        let target_ms = self.rule.target.as_secs_f64() * 1_000.0;
-        match read_ms / target_ms.max(1.0) {
-            share if share < 0.25 => 0,
-            share if share < 0.7 => 1,
-            _ => 2,
+    /// What decides on the place of its prompt.
+    pub(crate) fn urgency(&self) -> PromptUrgency {
+        PromptUrgency {
+            rank: self.rule.rank,
+            target: self.rule.target,
         }
     }
 
+    /// Whether the prompt is read after all others at the engine that has read it soonest.
+    pub(crate) fn is_late(&self, placement: &Placement, speed: EngineSpeed) -> bool {
+        let read = placement.wait + speed.read_time(placement.uncached);
+        self.urgency().is_late(self.started.elapsed() + read)
+    }
+
     /// Tokens that are likely to be generated.
     pub(crate) fn output_tokens(&self) -> u32 {
         let limit = self.facts.output_limit.0;
@@ -87,10 +87,12 @@
 
     /// What a send to a backend server says beside the caller's headers.
     pub(crate) fn send_facts(&self, instance: &InstanceId) -> SendFacts {
+        let speed = self.shared.lock().speed(&self.service);
+        let whole_read = speed.read_time(self.facts.chain.tokens());
         SendFacts {
             instance: instance.clone(),
             time_left: Some(self.time_left()),
-            rank: self.rule.rank.saturating_mul(RANK_STRIDE) + self.size_step(),
+            priority: self.urgency().priority(whole_read),
             prefill_only: false,
             source: None,
             resume_after: None,
@@ -125,6 +127,20 @@
         self.shared.log.decide(record);
     }
 
+    /// Logs that a prompt goes behind all others.
+    pub(crate) fn log_late(&self, placement: &Placement) {
+        let record = self
+            .record(
+                DecisionKind::Route,
+                "late in any case, read after all others",
+            )
+            .chosen(&placement.instance)
+            .input("target_ms", self.rule.target.as_millis() as u64)
+            .input("held_ms", self.started.elapsed().as_millis() as u64)
+            .input("wait_ms", placement.wait.as_millis() as u64);
+        self.shared.log.decide(record);
+    }
+
     fn left_ms(&self) -> u64 {
         self.time_left().as_millis() as u64
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use policy::{
     CrashId,
     OpenWork,
+    PromptLoad,
     choose_members, //
 };
 use prost::Message;
@@ -87,7 +88,7 @@
     let loads = busy.map(|view| ShareLoad {
         backend: backend_hash(&view.record.instance),
         requests: view.open.requests,
-        prompt_tokens: view.open.prompt_tokens.try_into().unwrap_or(u32::MAX),
+        prompt_tokens: view.open.prompts.counts(),
         memory_tokens: view.open.memory_tokens.try_into().unwrap_or(u32::MAX),
     });
     let crashes = state
@@ -162,7 +163,7 @@
 fn read_load(load: &ShareLoad) -> (u32, OpenWork) {
     let work = OpenWork {
         requests: load.requests,
-        prompt_tokens: load.prompt_tokens.into(),
+        prompts: PromptLoad::from_counts(&load.prompt_tokens),
         memory_tokens: load.memory_tokens.into(),
     };
     (load.backend, work)
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -8,9 +8,12 @@
 
 use hyper::Response;
 use policy::{
+    LAST_PRIORITY,
     OpenWork,
     Placement,
     PlacementNeed,
+    PromptLoad,
+    ReadPlace,
     place_decode,
     place_prefill,
     reads_inline, //
@@ -48,6 +51,8 @@
     pub(crate) placement: Placement,
     pub(crate) address: SocketAddr,
     pub(crate) centre: DataCentre,
+    /// Whether it reads the prompt after all others.
+    pub(crate) is_late: bool,
 }
 
 /// A stream that has begun, with what it holds at its engine.
@@ -167,7 +172,8 @@
     let speed = state.speed(&call.service);
     let chain = &call.facts.chain;
     let need = need(call, sent);
-    let apart = place_prefill(&state.fleet, now, need, chain, speed);
+    let place = call.urgency().place();
+    let apart = place_prefill(&state.fleet, now, need, chain, place, speed);
     if sent.is_untried() {
         note_offered(call, &mut state, apart.as_ref());
     }
@@ -175,7 +181,12 @@
     if inline.as_ref().is_some_and(reads_inline) {
         return None;
     }
-    take_engine(call, state, apart?, "prompt is read soonest there")
+    let mut engine = take_engine(call, state, apart?, "prompt is read soonest there")?;
+    engine.is_late = call.is_late(&engine.placement, speed);
+    if engine.is_late {
+        call.log_late(&engine.placement);
+    }
+    Some(engine)
 }
 
 /// Counts the prompt as work asked of the prefill stage, whoever reads it.
@@ -218,6 +229,7 @@
         placement,
         address,
         centre,
+        is_late: false,
     })
 }
 
@@ -226,9 +238,14 @@
     engine: ChosenEngine,
 ) -> Result<HandleGuard, SendTrouble> {
     let instance = &engine.placement.instance;
+    let place = if engine.is_late {
+        ReadPlace::LAST
+    } else {
+        call.urgency().place()
+    };
     let work = OpenWork {
         requests: 1,
-        prompt_tokens: engine.placement.uncached.into(),
+        prompts: PromptLoad::new(place, engine.placement.uncached.into()),
         memory_tokens: 0,
     };
     let ahead = call
@@ -236,10 +253,13 @@
         .lock()
         .fleet
         .get(instance)
-        .map_or(0, |view| view.total().prompt_tokens);
+        .map_or(0, |view| view.total().prompts.total());
     let open = OpenGuard::new(&call.shared, instance, work);
     let mut facts = call.send_facts(instance);
     facts.prefill_only = true;
+    if engine.is_late {
+        facts.priority = LAST_PRIORITY;
+    }
     let began = Instant::now();
     let answer = open_send(call, engine.address, &facts).await?;
     let answer = read_whole(call, answer).await?;
@@ -276,7 +296,7 @@
     let output = call.output_tokens();
     let work = OpenWork {
         requests: 1,
-        prompt_tokens: engine.placement.uncached.into(),
+        prompts: PromptLoad::new(call.urgency().place(), engine.placement.uncached.into()),
         memory_tokens: u64::from(call.facts.chain.tokens()) + u64::from(output),
     };
     let open = OpenGuard::new(&call.shared, instance, work);
--- a/crates/gateway/src/open_work.rs
+++ b/crates/gateway/src/open_work.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use policy::OpenWork;
+use policy::{
+    OpenWork,
+    PromptLoad, //
+};
 use tokio::time::Instant;
 use units::InstanceId;
 
@@ -31,10 +34,10 @@
     /// Counts the prompt as read.
     pub(crate) fn prompt_read(&mut self) {
         let read = OpenWork {
-            prompt_tokens: self.work.prompt_tokens,
+            prompts: self.work.prompts,
             ..OpenWork::default()
         };
-        self.work.prompt_tokens = 0;
+        self.work.prompts = PromptLoad::NONE;
         self.take(read);
     }
 
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -15,6 +15,7 @@
     BackendRecord,
     EngineStage,
     PromptChain,
+    PromptLoad,
     SendOutcome, //
 };
 
@@ -37,7 +38,7 @@
     /// Requests.
     pub requests: u32,
     /// Prompt tokens still to be read.
-    pub prompt_tokens: u64,
+    pub prompts: PromptLoad,
     /// Tokens held in the KV memory by running streams.
     pub memory_tokens: u64,
 }
@@ -46,21 +47,21 @@
     /// No work.
     pub const NONE: Self = Self {
         requests: 0,
-        prompt_tokens: 0,
+        prompts: PromptLoad::NONE,
         memory_tokens: 0,
     };
 
     /// Counts more work.
     pub fn add(&mut self, work: Self) {
         self.requests += work.requests;
-        self.prompt_tokens += work.prompt_tokens;
+        self.prompts.add(work.prompts);
         self.memory_tokens += work.memory_tokens;
     }
 
     /// Counts work as ended.
     pub fn subtract(&mut self, work: Self) {
         self.requests = self.requests.saturating_sub(work.requests);
-        self.prompt_tokens = self.prompt_tokens.saturating_sub(work.prompt_tokens);
+        self.prompts.subtract(work.prompts);
         self.memory_tokens = self.memory_tokens.saturating_sub(work.memory_tokens);
     }
 }
@@ -166,11 +167,9 @@
 
     /// Work of all entries together.
     pub fn total(&self) -> OpenWork {
-        OpenWork {
-            requests: self.open.requests + self.others.requests,
-            prompt_tokens: self.open.prompt_tokens + self.others.prompt_tokens,
-            memory_tokens: self.open.memory_tokens + self.others.memory_tokens,
-        }
+        let mut total = self.open;
+        total.add(self.others);
+        total
     }
 
     /// Notes that the engine reads a prompt, whose shared parts it then keeps.
--- a/crates/policy/src/peer_load.rs
+++ b/crates/policy/src/peer_load.rs
@@ -71,7 +71,7 @@
         let factor = others as f64 / heard as f64;
         OpenWork {
             requests: (f64::from(total.requests) * factor) as u32,
-            prompt_tokens: (total.prompt_tokens as f64 * factor) as u64,
+            prompts: total.prompts.scaled(factor),
             memory_tokens: (total.memory_tokens as f64 * factor) as u64,
         }
     }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -15,7 +15,8 @@
 use crate::{
     BackendFleet,
     EngineStage,
-    PromptChain, //
+    PromptChain,
+    ReadPlace, //
 };
 
 /// Time of a plain answer before any was seen.
@@ -39,6 +40,9 @@
 /// Score of a full KV memory, in milliseconds.
 const MEMORY_MS: f64 = 400.0;
 
+/// Share of the time of less urgent prompts by which they delay a new one: some are under way.
+const BEHIND_SHARE: f64 = 0.3;
+
 /// A choice and the scores behind it, best first, in milliseconds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
@@ -138,25 +142,36 @@
     pub memory_tokens: u64,
 }
 
+impl EngineSpeed {
+    /// Time in which a prefill engine reads some prompt tokens.
+    pub fn read_time(self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.prefill / 1_000.0)
+    }
+}
+
 /// The prefill engine that has read the prompt soonest.
 pub fn place_prefill(
     fleet: &BackendFleet,
     now: Instant,
     need: PlacementNeed<'_>,
     chain: &PromptChain,
+    place: ReadPlace,
     speed: EngineSpeed,
 ) -> Option<Placement> {
     let views = candidates(fleet, now, need, Some(EngineStage::Prefill));
     let agreed = agreed_place(&views, chain);
     let scored = views.into_iter().map(|view| {
         let uncached = uncached_tokens(view, chain, agreed.as_ref());
-        let wait = view.total().prompt_tokens as f64 / speed.prefill;
+        let prompts = view.total().prompts;
+        let before = prompts.before(place);
+        let wait = before as f64 / speed.prefill;
+        let behind = (prompts.total() - before) as f64 * BEHIND_SHARE / speed.prefill;
         let read = f64::from(uncached) / speed.prefill;
         let reread = reread_ms(chain, uncached);
         let failures = view.health.failure_share() * FAILURE_MS;
         Candidate {
             view,
-            score: wait + read + reread + failures + hop_ms(view, need.centre),
+            score: wait + behind + read + reread + failures + hop_ms(view, need.centre),
             wait,
             uncached,
         }
@@ -181,7 +196,7 @@
             Some(_) => 0,
             None => uncached_tokens(view, chain, agreed.as_ref()),
         };
-        let wait = total.prompt_tokens as f64 / speed.inline;
+        let wait = total.prompts.total() as f64 / speed.inline;
         let read = f64::from(uncached) / speed.inline;
         let reread = reread_ms(chain, uncached);
         let crowd = f64::from(total.requests) * STREAM_MS;
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -17,6 +17,8 @@
     Placement,
     PlacementNeed,
     PromptChain,
+    PromptLoad,
+    ReadPlace,
     place_decode,
     place_prefill,
     reads_inline, //
@@ -75,7 +77,15 @@
     }
 
     fn prefill(&self, chain: &PromptChain) -> Placement {
-        place_prefill(&self.fleet, Instant::now(), self.need(), chain, SPEED).unwrap()
+        place_prefill(
+            &self.fleet,
+            Instant::now(),
+            self.need(),
+            chain,
+            ReadPlace::of_rank(1),
+            SPEED,
+        )
+        .unwrap()
     }
 
     fn decode(&self, chain: &PromptChain, source: Option<&str>) -> Placement {
@@ -85,11 +95,15 @@
     }
 
     fn load(&mut self, instance: &InstanceId, requests: u32, tokens: u64) {
+        self.load_rank(instance, 1, requests, tokens);
+    }
+
+    fn load_rank(&mut self, instance: &InstanceId, rank: u8, requests: u32, tokens: u64) {
         let view = self.fleet.get_mut(instance).unwrap();
         view.open.add(OpenWork {
             requests,
-            prompt_tokens: tokens,
-            memory_tokens: 0,
+            prompts: PromptLoad::new(ReadPlace::of_rank(rank), tokens),
+            ..OpenWork::NONE
         });
     }
 }
@@ -159,6 +173,24 @@
     );
 }
 
+/// A backlog of less urgent prompts: an urgent one goes before it and does not flee from it.
+#[test]
+fn place_prefill_before_less_urgent() {
+    let mut site = prefill_site(2);
+    let [first, second] = ["p-0", "p-1"].map(|name| name.parse::<InstanceId>().unwrap());
+    site.load_rank(&first, 2, 20, 36_000);
+    site.load_rank(&second, 0, 20, 14_000);
+    let chain: PromptChain = "b1:200".parse().unwrap();
+    let place = |rank| {
+        let place = ReadPlace::of_rank(rank);
+        let now = Instant::now();
+        place_prefill(&site.fleet, now, site.need(), &chain, place, SPEED).unwrap()
+    };
+    assert_eq!(place(0).instance, first);
+    assert_eq!(place(0).wait, std::time::Duration::ZERO);
+    assert_eq!(place(2).instance, second);
+}
+
 /// An engine is lost: only its own manuals move.
 #[test]
 fn place_prefill_engine_lost() {
--- a/crates/wire/src/messages/exchange.rs
+++ b/crates/wire/src/messages/exchange.rs
@@ -10,9 +10,9 @@
     /// Requests that run.
     #[prost(uint32, tag = "2")]
     pub requests: u32,
-    /// Prompt tokens still to be read.
-    #[prost(uint32, tag = "3")]
-    pub prompt_tokens: u32,
+    /// Prompt tokens still to be read, by the order in which they are.
+    #[prost(uint32, repeated, tag = "3")]
+    pub prompt_tokens: Vec<u32>,
     /// Tokens held in the KV memory.
     #[prost(uint32, tag = "4")]
     pub memory_tokens: u32,
