gateway: a failed answer is handed on when no other backend server is left

Two of three servers of the plain service had been removed; 50 lookups that the last one answered with 500 took a further send from the budget, found nobody to take it and ended with a 502 of our own.

Change: a further send is decided on only where somebody is left for it.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,10 +1,13 @@
 //! Requests to plain services.
 
+use std::net::SocketAddr;
+
 use hyper::Response;
 use logs::DecisionKind;
 use platform::strip_hop_headers;
 use policy::{
     OpenWork,
+    Placement,
     PlacementNeed,
     place_call, //
 };
@@ -93,7 +96,8 @@
     }
 }
 
-fn place(call: &CallContext, sent: &SendCount) -> Option<(InstanceId, std::net::SocketAddr)> {
+/// The backend server to send to next, of those that were not tried.
+fn choose(call: &CallContext, sent: &SendCount) -> Option<(Placement, SocketAddr)> {
     let state = call.shared.lock();
     let need = PlacementNeed {
         service: &call.service,
@@ -102,7 +106,11 @@
     };
     let placement = place_call(&state.fleet, Instant::now(), need)?;
     let address = state.fleet.get(&placement.instance)?.record.address;
-    drop(state);
+    Some((placement, address))
+}
+
+fn place(call: &CallContext, sent: &SendCount) -> Option<(InstanceId, SocketAddr)> {
+    let (placement, address) = choose(call, sent)?;
     call.log_choice(&placement, "least expected time");
     Some((placement.instance, address))
 }
@@ -112,9 +120,12 @@
     status.is_server_error() || (status.is_success() && !answer.facts.is_signed)
 }
 
-/// Whether a request that has run may be sent once more, taking it from the budget.
+/// Whether a request that has run may be sent once more, taking it from the budget. Where nobody is
+/// left to take it, its last answer is the caller's.
 fn may_repeat(call: &CallContext, sent: &SendCount) -> bool {
-    call.may_run_again(sent) && call.shared.spend_repeat(&call.service)
+    call.may_run_again(sent)
+        && choose(call, sent).is_some()
+        && call.shared.spend_repeat(&call.service)
 }
 
 fn log_answer(call: &CallContext, instance: &InstanceId, answer: &WholeAnswer) {
