gateway, policy: latencies by kind, rank, stage and server; spoilt entries; new servers

Cause: latencies were told by stage only. Tests of the new ones showed two faults. An entry that is overwritten with bytes that cannot be read kept its old server in use until all entries were read anew. And a new server of a plain service, taken to answer in 50 ms, got no work beside idle ones that answer in 2 ms.

Change: gateway_answer_seconds, gateway_stage_seconds, gateway_server_seconds (64 servers at most; a series goes with its server). A spoilt entry removes its server, on both ways of reading. A server without answers is taken to be like the fastest.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,10 +17,15 @@
     read_backend,
     read_document, //
 };
+use policy::{
+    BackendChange,
+    BackendRecord, //
+};
 use tokio::time::{
     Instant,
     sleep, //
 };
+use units::InstanceId;
 use web::ConnectionBounds;
 
 use crate::members::{
@@ -186,11 +191,11 @@
     let records = read.collect();
     let changes = shared.lock().fleet.replace(now, records, doubt);
     for (instance, change) in changes {
-        log_change(shared, &instance.to_string(), change.as_str());
+        note_change(shared, &instance, change);
     }
 }
 
-fn read_or_log(shared: &GatewayShared, item: &KeyItem) -> Option<policy::BackendRecord> {
+fn read_or_log(shared: &GatewayShared, item: &KeyItem) -> Option<BackendRecord> {
     match read_backend(&item.key, &item.value) {
         Ok(record) => Some(record),
         Err(error) => {
@@ -204,29 +209,36 @@
 
 fn take_backend(shared: &GatewayShared, change: KeyChange) {
     let now = Instant::now();
-    let (key, found) = match change {
-        KeyChange::Written(item) => {
-            let Some(record) = read_or_log(shared, &item) else {
-                return;
-            };
-            (item.key, shared.lock().fleet.upsert(record))
-        }
-        KeyChange::Removed(key) => {
+    let name = change.key().strip_prefix(BACKEND_PREFIX);
+    let Some(Ok(instance)) = name.map(str::parse::<InstanceId>) else {
+        return;
+    };
+    let found = match change {
+        KeyChange::Written(item) => match read_or_log(shared, &item) {
+            Some(record) => shared.lock().fleet.upsert(record),
+            // An entry that cannot be read names nobody, as when all entries are read anew.
+            None => shared.lock().fleet.remove(now, &instance, false),
+        },
+        KeyChange::Removed(_) => {
             let doubt = in_doubt(shared, now);
-            let name = key.strip_prefix(BACKEND_PREFIX).unwrap_or(&key);
-            let Ok(instance) = name.parse() else { return };
-            let change = shared.lock().fleet.remove(now, &instance, doubt);
-            (key, change)
+            shared.lock().fleet.remove(now, &instance, doubt)
         }
     };
     if let Some(change) = found {
-        log_change(shared, &key, change.as_str());
+        note_change(shared, &instance, change);
+    }
+}
+
+fn note_change(shared: &GatewayShared, instance: &InstanceId, change: BackendChange) {
+    if change == BackendChange::Gone {
+        shared.metrics.latencies.forget(instance);
     }
+    log_change(shared, instance, change.as_str());
 }
 
-fn log_change(shared: &GatewayShared, name: &str, change: &str) {
+fn log_change(shared: &GatewayShared, instance: &InstanceId, change: &str) {
     let record = DecisionRecord::new(DecisionKind::Backend, change);
-    shared.log.decide(record.chosen(name));
+    shared.log.decide(record.chosen(instance));
 }
 
 /// Drops backend servers whose entries did not come back, and closes idle connections.
@@ -236,7 +248,8 @@
         let now = Instant::now();
         let dropped = shared.lock().fleet.expire(now);
         for instance in dropped {
-            log_change(&shared, &instance.to_string(), "entry_did_not_return");
+            shared.metrics.latencies.forget(&instance);
+            log_change(&shared, &instance, "entry_did_not_return");
         }
         shared.pool().sweep(now);
     }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -29,7 +29,7 @@
     UNREACHED_LIMIT, //
 };
 use crate::handle::HandleGuard;
-use crate::metrics::GatewayMetrics;
+use crate::latency::ServerStage;
 use crate::open_work::OpenGuard;
 use crate::outcome::{
     OpenAnswer,
@@ -69,7 +69,7 @@
     let mut sent = SendCount::default();
     let run = open_run(&call, &mut sent, None).await?;
     let taken = call.started.elapsed();
-    GatewayMetrics::observe(&call.shared.metrics.first_event, taken);
+    call.shared.metrics.latencies.note_answer(&call.rule, taken);
     Ok(start_pump(call, run, sent))
 }
 
@@ -265,7 +265,8 @@
     let answer = read_whole(call, answer).await?;
     drop(open);
     let taken = began.elapsed();
-    GatewayMetrics::observe(&call.shared.metrics.prefill, taken);
+    let latencies = &call.shared.metrics.latencies;
+    latencies.note_stage(ServerStage::Prefill, instance, taken);
     let reply = match platform::read_prefill(answer.response.body()) {
         Ok(reply) if answer.response.status().is_success() => reply,
         _ => return Err(SendTrouble::Unknown("prefill_failed")),
@@ -306,7 +307,12 @@
         handle.taken = true;
         facts.source = Some((handle.address, handle.handle.clone()));
     }
+    let began = Instant::now();
     let answer = open_send(call, engine.address, &facts).await;
+    if answer.is_ok() {
+        let latencies = &call.shared.metrics.latencies;
+        latencies.note_stage(ServerStage::Decode, instance, began.elapsed());
+    }
     match (&answer, handle.as_mut()) {
         (Err(SendTrouble::Unreached), Some(handle)) => handle.taken = false,
         // An engine that is full or changes its stage has left the KV cache where it is; if it has
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod generation;
 mod handle;
+mod latency;
 mod members;
 mod metrics;
 mod open_work;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -24,7 +24,7 @@
     SendCount,
     UNREACHED_LIMIT, //
 };
-use crate::metrics::GatewayMetrics;
+use crate::latency::ServerStage;
 use crate::open_work::OpenGuard;
 use crate::outcome::{
     SendTrouble,
@@ -65,7 +65,9 @@
                 }
                 let taken = began.elapsed();
                 call.shared.lock().fleet.note_time(&instance, taken);
-                GatewayMetrics::observe(&call.shared.metrics.plain, taken);
+                let latencies = &call.shared.metrics.latencies;
+                latencies.note_stage(ServerStage::Plain, &instance, taken);
+                latencies.note_answer(&call.rule, call.started.elapsed());
                 log_answer(call, &instance, &answer);
                 return finish(answer);
             }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::{
     Histogram,
     HistogramOpts,
+    HistogramVec,
     IntCounter,
     IntCounterVec,
     IntGauge,
@@ -63,6 +64,19 @@
         self.add(made.expect("metric names are valid"))
     }
 
+    /// A histogram for each combination of labels' values.
+    pub fn histograms(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+        bounds: &[f64],
+    ) -> HistogramVec {
+        let options = HistogramOpts::new(self.name(name), help).buckets(bounds.to_vec());
+        let made = HistogramVec::new(options, labels);
+        self.add(made.expect("metric names are valid"))
+    }
+
     /// All values in the Prometheus text format.
     pub fn to_text(&self) -> String {
         let families = self.registry.gather();
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -115,8 +115,10 @@
     now: Instant,
     need: PlacementNeed<'_>,
 ) -> Option<Placement> {
-    let scored = candidates(fleet, now, need, None).into_iter().map(|view| {
-        let answer = view.answer_time().unwrap_or(ANSWER_PRIOR);
+    let views = candidates(fleet, now, need, None);
+    let prior = least_answer(&views).unwrap_or(ANSWER_PRIOR);
+    let scored = views.into_iter().map(|view| {
+        let answer = view.answer_time().unwrap_or(prior);
         let answer = answer.as_secs_f64() * 1_000.0;
         let load = f64::from(view.total().requests) / f64::from(view.record.slots.max(1));
         let wait = load * answer;
@@ -131,6 +133,12 @@
     choose(scored)
 }
 
+/// Time of answers of the fastest backend server. A new one is taken to be like it, or it would get
+/// no work beside the others.
+fn least_answer(views: &[&BackendView]) -> Option<Duration> {
+    views.iter().filter_map(|view| view.answer_time()).min()
+}
+
 /// Speeds of a service's engines, as learned from their answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineSpeed {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -19,6 +19,7 @@
     PromptChain,
     PromptLoad,
     ReadPlace,
+    place_call,
     place_decode,
     place_prefill,
     reads_inline, //
@@ -45,9 +46,23 @@
 
 impl Site {
     fn new(engines: &[(&str, &str, EngineStage)]) -> Self {
+        let staged = engines.iter();
+        let staged: Vec<_> = staged
+            .map(|(name, centre, stage)| (*name, *centre, Some(*stage)))
+            .collect();
+        Self::with(&staged)
+    }
+
+    /// Servers of a plain service in one data centre.
+    fn plain(names: &[&str]) -> Self {
+        let servers: Vec<_> = names.iter().map(|name| (*name, "a", None)).collect();
+        Self::with(&servers)
+    }
+
+    fn with(servers: &[(&str, &str, Option<EngineStage>)]) -> Self {
         let service: ServiceName = "assist".parse().unwrap();
         let mut fleet = BackendFleet::default();
-        for (instance, centre, stage) in engines {
+        for (instance, centre, stage) in servers {
             fleet.upsert(BackendRecord {
                 instance: instance.parse().unwrap(),
                 service: service.clone(),
@@ -56,7 +71,7 @@
                 slots: 64,
                 leaving: false,
                 cold: Duration::ZERO,
-                stage: Some(*stage),
+                stage: *stage,
                 born_ms: None,
             });
         }
@@ -264,3 +279,18 @@
     site.avoid.insert(home.clone());
     assert_ne!(site.prefill(&chain).instance, home);
 }
+
+/// A server joins fast ones: it gets work at once, however fast they are.
+#[test]
+fn place_call_new_server_gets_work() {
+    let mut site = Site::plain(&["s-1", "s-2", "s-3"]);
+    let [first, second, third] = ["s-1", "s-2", "s-3"].map(|name| name.parse().unwrap());
+    site.fleet.note_time(&second, Duration::from_millis(2));
+    site.fleet.note_time(&third, Duration::from_millis(4));
+    for instance in [&second, &third] {
+        site.load(instance, 1, 0);
+    }
+    let now = Instant::now();
+    let placed = place_call(&site.fleet, now, site.need()).unwrap();
+    assert_eq!(placed.instance, first);
+}
