--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -18,6 +18,7 @@
 mod config;
 mod drain;
 mod explain;
+mod fleet;
 mod status;
 
 use account::AccountArgs;
@@ -28,6 +29,7 @@
     UndrainArgs, //
 };
 use explain::ExplainArgs;
+use fleet::FleetArgs;
 use status::StatusArgs;
 
 /// Operates galenarail: states targets for classes of work, and empties instances for planned
@@ -54,21 +56,23 @@
     Config(ConfigArgs),
     Drain(DrainArgs),
     Explain(ExplainArgs),
+    Fleet(FleetArgs),
     Undrain(UndrainArgs),
     Status(StatusArgs),
 }
 
 /// Runs a command.
 pub fn run_command(args: &OperatorArgs) -> Result<CommandReport, CliError> {
+    let store = || args.store.context(NoStoreSnafu);
     let editor = || -> Result<ConfigEditor, CliError> {
-        let store = args.store.context(NoStoreSnafu)?;
-        Ok(ConfigEditor::new(BlockingClient::new(store)))
+        Ok(ConfigEditor::new(BlockingClient::new(store()?)))
     };
     match &args.command {
         OperatorCommand::Account(args) => account::run(&editor()?, args),
         OperatorCommand::Class(args) => class::run(&editor()?, args),
         OperatorCommand::Config(args) => config::run(&editor()?, args),
         OperatorCommand::Explain(args) => explain::run(args),
+        OperatorCommand::Fleet(_) => fleet::run(store()?),
         OperatorCommand::Drain(args) => drain::run_drain(&editor()?, args),
         OperatorCommand::Undrain(args) => drain::run_undrain(&editor()?, args),
         OperatorCommand::Status(args) => status::run(&editor()?, args),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use conf::ConfError;
+use platform::PlatformError;
 use snafu::Snafu;
 use store::StoreError;
 use units::ConfigVersion;
@@ -21,6 +22,18 @@
         /// Why.
         source: StoreError,
     },
+    /// The platform's store gave no answer.
+    #[snafu(display("cannot read the platform's store: {source}"))]
+    Fleet {
+        /// Why.
+        source: PlatformError,
+    },
+    /// The runtime for calls of the store did not start.
+    #[snafu(display("cannot start the runtime: {source}"))]
+    Runtime {
+        /// Why.
+        source: std::io::Error,
+    },
     /// The change is not valid.
     #[snafu(display("the change is not valid: {source}"))]
     Invalid {
@@ -77,6 +90,10 @@
         match self {
             Self::NoStore => "give --store with the address of the platform's store",
             Self::Store { .. } => "check --store and the health of the platform's store",
+            Self::Fleet { .. } => {
+                "check that --store names the platform's metadata store and that it is reachable"
+            }
+            Self::Runtime { .. } => "check the limits on open files and memory",
             Self::Invalid { .. } => "nothing was changed; correct the value and try again",
             Self::Stored { .. } => "run 'galenarail config show --json' and repair it",
             Self::ReadFile { .. } => "check the path and its permissions",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod open_work;
 mod outcome;
+mod overview;
 mod plain;
 mod pump;
 mod readiness;
@@ -25,3 +26,5 @@
 
 pub use daemon::GatewayDaemon;
 pub use error::GatewayError;
+pub use overview::FleetOverview;
+pub use overview::ServiceCount;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -37,7 +37,7 @@
 /// Start of the keys of members; the instance follows.
 const MEMBER_PREFIX: &str = "galenarail/members/";
 /// Key of the gateway that gives orders.
-const PLANNER_KEY: &str = "galenarail/planner";
+pub(crate) const PLANNER_KEY: &str = "galenarail/planner";
 /// Time for which a gateway counts as a member without renewing its lease.
 const MEMBER_LIFETIME: Duration = Duration::from_secs(20);
 /// Time for which the planner's lease holds without renewal.
@@ -112,7 +112,8 @@
     }
 }
 
-fn read_member(item: &KeyItem) -> Option<(InstanceId, SocketAddr)> {
+/// Reads a member's key.
+pub(crate) fn read_member(item: &KeyItem) -> Option<(InstanceId, SocketAddr)> {
     let name = item.key.strip_prefix(MEMBER_PREFIX)?;
     let address = std::str::from_utf8(&item.value).ok()?;
     Some((name.parse().ok()?, address.parse().ok()?))
