--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -18,7 +18,6 @@
     CallTicket,
     ClaimKey,
     ClaimRecord,
-    ClaimVerdict,
     ClaimWish,
     body_digest, //
 };
@@ -39,19 +38,22 @@
     VerdictCode, //
 };
 
-use crate::claims::{
-    ClaimResult,
-    now_ms, //
-};
+use crate::claims::now_ms;
 use crate::failure::CallerFailure;
 use crate::reply::failure_reply;
 use crate::state::EntryShared;
 use crate::tickets::CallEnd;
+use crate::verdicts::{
+    claim_verdict,
+    forged,
+    judge_outcome,
+    none_available,
+    outcome_unknown, //
+};
 
 const KEY_HEADER: &str = "idempotency-key";
 const KEY_LIMIT_BYTES: usize = 512;
 const TICKET_PREFIX: &str = "t1~";
-const RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Times that a key is bound anew after its ticket turned out never to run.
 const REBIND_LIMIT: usize = 3;
 
@@ -282,45 +284,6 @@
     Err(none_available())
 }
 
-fn claim_verdict(result: ClaimResult) -> Result<ClaimRecord, CallerFailure> {
-    match result {
-        ClaimResult::Decided(ClaimVerdict::Bound(record)) => Ok(record),
-        ClaimResult::Decided(ClaimVerdict::OtherBody) => {
-            let message = "this key was used for another body; use a new key for a new call";
-            let failure = CallerFailure::invalid("key_reused", message);
-            Err(failure.status(StatusCode::UNPROCESSABLE_ENTITY))
-        }
-        ClaimResult::Decided(ClaimVerdict::Full) => {
-            let message = "too many keys are remembered; try again later or use a ticket";
-            Err(CallerFailure::not_run("claims_full", message, RETRY_AFTER))
-        }
-        ClaimResult::NoEffect => {
-            let message = "the store is out of reach; try again later or use a ticket";
-            Err(CallerFailure::not_run(
-                "store_unavailable",
-                message,
-                RETRY_AFTER,
-            ))
-        }
-        ClaimResult::Unknown => Err(outcome_unknown()),
-    }
-}
-
-fn judge_outcome(shared: &EntryShared, outcome: CallOutcome) -> Result<CallOutcome, CallerFailure> {
-    match outcome.verdict() {
-        VerdictCode::Done => Ok(outcome),
-        VerdictCode::NotRun => {
-            let message = format!(
-                "the call was not run ({}); get a new ticket",
-                outcome.reason
-            );
-            Err(CallerFailure::not_run("not_run", message, RETRY_AFTER))
-        }
-        VerdictCode::Forged => Err(forged(shared)),
-        VerdictCode::Unknown | VerdictCode::Unset => Err(outcome_unknown()),
-    }
-}
-
 async fn new_ticket(
     shared: &Arc<EntryShared>,
     call: &ServiceCall,
@@ -333,25 +296,6 @@
     Err(none_available())
 }
 
-fn none_available() -> CallerFailure {
-    let message = "no backend server of this service takes work; try again later";
-    CallerFailure::not_run("none_available", message, RETRY_AFTER)
-}
-
-fn outcome_unknown() -> CallerFailure {
-    let message = "the call may have run; ask again with the same key, or look it up by hand";
-    CallerFailure::unknown("outcome_unknown", message)
-}
-
-fn forged(shared: &EntryShared) -> CallerFailure {
-    let reason = "a ticket was forged or presented for another account or call";
-    shared
-        .log
-        .decide(DecisionRecord::new(DecisionKind::Intruder, reason));
-    let message = "this ticket was not given out for this account and call; get one of your own";
-    CallerFailure::invalid("forged_ticket", message).status(StatusCode::FORBIDDEN)
-}
-
 fn log_call(shared: &EntryShared, call: &ServiceCall, side: &InstanceId, reason: &str) {
     let record = DecisionRecord::new(DecisionKind::Claim, reason)
         .request(&call.call)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod stream;
 mod tickets;
 mod unproven;
+mod verdicts;
 mod work;
 
 pub use daemon::EntryDaemon;
--- /dev/null
+++ b/crates/entry/src/verdicts.rs
@@ -0,0 +1,90 @@
+//! What callers are told of a call: its answer, or why there is none.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::{
+    ClaimRecord,
+    ClaimVerdict, //
+};
+use wire::{
+    CallOutcome,
+    VerdictCode, //
+};
+
+use crate::claims::ClaimResult;
+use crate::failure::CallerFailure;
+use crate::state::EntryShared;
+
+/// Pause after which a call that was not run may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// The claim that a key is bound to, or why it is not.
+pub(crate) fn claim_verdict(result: ClaimResult) -> Result<ClaimRecord, CallerFailure> {
+    match result {
+        ClaimResult::Decided(ClaimVerdict::Bound(record)) => Ok(record),
+        ClaimResult::Decided(ClaimVerdict::OtherBody) => {
+            let message = "this key was used for another body; use a new key for a new call";
+            let failure = CallerFailure::invalid("key_reused", message);
+            Err(failure.status(StatusCode::UNPROCESSABLE_ENTITY))
+        }
+        ClaimResult::Decided(ClaimVerdict::Full) => {
+            let message = "too many keys are remembered; try again later or use a ticket";
+            Err(CallerFailure::not_run("claims_full", message, RETRY_AFTER))
+        }
+        ClaimResult::NoEffect => {
+            let message = "the store is out of reach; try again later or use a ticket";
+            Err(CallerFailure::not_run(
+                "store_unavailable",
+                message,
+                RETRY_AFTER,
+            ))
+        }
+        ClaimResult::Unknown => Err(outcome_unknown()),
+    }
+}
+
+/// A call's answer, or why there is none.
+pub(crate) fn judge_outcome(
+    shared: &EntryShared,
+    outcome: CallOutcome,
+) -> Result<CallOutcome, CallerFailure> {
+    match outcome.verdict() {
+        VerdictCode::Done => Ok(outcome),
+        VerdictCode::NotRun => {
+            let message = format!(
+                "the call was not run ({}); get a new ticket",
+                outcome.reason
+            );
+            Err(CallerFailure::not_run("not_run", message, RETRY_AFTER))
+        }
+        VerdictCode::Forged => Err(forged(shared)),
+        VerdictCode::Unknown | VerdictCode::Unset => Err(outcome_unknown()),
+    }
+}
+
+/// Nobody takes the call.
+pub(crate) fn none_available() -> CallerFailure {
+    let message = "no backend server of this service takes work; try again later";
+    CallerFailure::not_run("none_available", message, RETRY_AFTER)
+}
+
+/// The call may have run.
+pub(crate) fn outcome_unknown() -> CallerFailure {
+    let message = "the call may have run; ask again with the same key, or look it up by hand";
+    CallerFailure::unknown("outcome_unknown", message)
+}
+
+/// A ticket that was not given out for this call, with a line for the log.
+pub(crate) fn forged(shared: &EntryShared) -> CallerFailure {
+    let reason = "a ticket was forged or presented for another account or call";
+    shared
+        .log
+        .decide(DecisionRecord::new(DecisionKind::Intruder, reason));
+    let message = "this ticket was not given out for this account and call; get one of your own";
+    CallerFailure::invalid("forged_ticket", message).status(StatusCode::FORBIDDEN)
+}
