policy, gateway, web: tests for breaks that went unnoticed; places in one type

Cause: 47 mechanisms of policy were broken on purpose, one at a time, against the tests of policy alone. 14 breaks went unnoticed: a retry share of 0.9, a key bound to another body, no eviction of parts, parts without their start, parts kept over a restart, a streak of 6, pauses of 400 s, no weight of memory, of failures, of hops, of less urgent prompts, changes for a single engine, short prompts as samples of speed, a line that falls below nothing.

Change: a test for each. A prompt's place is one value from its prediction to its send. A connection's timer no longer depends on a limit that may be nothing.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -22,6 +22,7 @@
     EngineSpeed,
     Placement,
     PromptUrgency,
+    ReadPlace,
     RouteRule, //
 };
 use tokio::time::Instant;
@@ -67,10 +68,10 @@
         }
     }
 
-    /// Whether the prompt is read after all others at the engine that has read it soonest.
-    pub(crate) fn is_late(&self, placement: &Placement, speed: EngineSpeed) -> bool {
+    /// Place of the prompt among those of the prefill engine that has read it soonest.
+    pub(crate) fn read_place(&self, placement: &Placement, speed: EngineSpeed) -> ReadPlace {
         let read = placement.wait + speed.read_time(placement.uncached);
-        self.urgency().is_late(self.started.elapsed() + read)
+        self.urgency().place_at(self.started.elapsed() + read)
     }
 
     /// Tokens that are likely to be generated.
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -51,8 +51,8 @@
     pub(crate) placement: Placement,
     pub(crate) address: SocketAddr,
     pub(crate) centre: DataCentre,
-    /// Whether it reads the prompt after all others.
-    pub(crate) is_late: bool,
+    /// Place of the prompt among those that it has to read.
+    pub(crate) place: ReadPlace,
 }
 
 /// A stream that has begun, with what it holds at its engine.
@@ -181,9 +181,10 @@
     if inline.as_ref().is_some_and(reads_inline) {
         return None;
     }
-    let mut engine = take_engine(call, state, apart?, "prompt is read soonest there")?;
-    engine.is_late = call.is_late(&engine.placement, speed);
-    if engine.is_late {
+    let apart = apart?;
+    let place = call.read_place(&apart, speed);
+    let engine = take_engine(call, state, apart, place, "prompt is read soonest there")?;
+    if place == ReadPlace::LAST {
         call.log_late(&engine.placement);
     }
     Some(engine)
@@ -209,7 +210,14 @@
     let chain = &call.facts.chain;
     let source = handle.map(|handle| &handle.centre);
     let placement = place_decode(&state.fleet, now, need(call, sent), chain, speed, source)?;
-    take_engine(call, state, placement, "stream is slowed least there")
+    let place = call.urgency().place();
+    take_engine(
+        call,
+        state,
+        placement,
+        place,
+        "stream is slowed least there",
+    )
 }
 
 /// Notes that a chosen engine will keep the prompt, and logs the choice.
@@ -217,6 +225,7 @@
     call: &CallContext,
     mut state: MutexGuard<'_, GatewayState>,
     placement: Placement,
+    place: ReadPlace,
     reason: &str,
 ) -> Option<ChosenEngine> {
     let memory_tokens = state.speed(&call.service).memory_tokens;
@@ -229,7 +238,7 @@
         placement,
         address,
         centre,
-        is_late: false,
+        place,
     })
 }
 
@@ -238,14 +247,9 @@
     engine: ChosenEngine,
 ) -> Result<HandleGuard, SendTrouble> {
     let instance = &engine.placement.instance;
-    let place = if engine.is_late {
-        ReadPlace::LAST
-    } else {
-        call.urgency().place()
-    };
     let work = OpenWork {
         requests: 1,
-        prompts: PromptLoad::new(place, engine.placement.uncached.into()),
+        prompts: PromptLoad::new(engine.place, engine.placement.uncached.into()),
         memory_tokens: 0,
     };
     let ahead = call
@@ -257,7 +261,7 @@
     let open = OpenGuard::new(&call.shared, instance, work);
     let mut facts = call.send_facts(instance);
     facts.prefill_only = true;
-    if engine.is_late {
+    if engine.place == ReadPlace::LAST {
         facts.priority = LAST_PRIORITY;
     }
     let began = Instant::now();
@@ -297,7 +301,7 @@
     let output = call.output_tokens();
     let work = OpenWork {
         requests: 1,
-        prompts: PromptLoad::new(call.urgency().place(), engine.placement.uncached.into()),
+        prompts: PromptLoad::new(engine.place, engine.placement.uncached.into()),
         memory_tokens: u64::from(call.facts.chain.tokens()) + u64::from(output),
     };
     let open = OpenGuard::new(&call.shared, instance, work);
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -31,6 +31,15 @@
         base.saturating_add(steps as u8)
     }
 
+    /// Place of a prompt whose reading is predicted to end at some time after the request came.
+    pub fn place_at(self, read_at: Duration) -> ReadPlace {
+        if self.is_late(read_at) {
+            ReadPlace::LAST
+        } else {
+            self.place()
+        }
+    }
+
     /// Place of a prompt that is not put behind all others.
     pub fn place(self) -> ReadPlace {
         ReadPlace::of_rank(self.rank)
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -162,6 +162,29 @@
     assert_eq!(usable(&fleet, now, None), ["i-1", "i-2"]);
 }
 
+/// One connection may break with a single request; two in a row say something of the engine.
+#[test]
+fn note_connections_that_break() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["i-1", "i-2"], None);
+    assert!(!fleet.note(now, &id("i-1"), SendOutcome::Broken));
+    assert_eq!(usable(&fleet, now, None), ["i-1", "i-2"]);
+    assert!(fleet.note(now, &id("i-1"), SendOutcome::Broken));
+    assert_eq!(usable(&fleet, now, None), ["i-2"]);
+}
+
+/// However long an engine has failed, real work probes it every four seconds.
+#[test]
+fn note_engine_that_fails_for_long() {
+    let mut now = Instant::now();
+    let mut fleet = fleet(&["i-1", "i-2"], None);
+    for _ in 0..40 {
+        fleet.note(now, &id("i-1"), SendOutcome::Broken);
+        now += Duration::from_secs(4);
+        assert_eq!(usable(&fleet, now, None), ["i-1", "i-2"]);
+    }
+}
+
 /// An engine that went dark: its connections stand, and nothing comes.
 #[test]
 fn usable_without_a_silent_engine() {
--- a/crates/policy/tests/learning.rs
+++ b/crates/policy/tests/learning.rs
@@ -37,6 +37,32 @@
     assert!((45.0..60.0).contains(&learned), "{learned} of 56");
 }
 
+/// Short prompts take the delay of the network rather than the engine's time.
+#[test]
+fn read_speed_beside_short_prompts() {
+    let mut speed = ReadSpeed::default();
+    for sample in 0..2_000_u32 {
+        let tokens = if sample % 4 == 0 { 8_000 } else { 300 };
+        let millis = 25.0 + f64::from(tokens) / 56.0;
+        speed.note(tokens, Duration::from_secs_f64(millis / 1_000.0));
+    }
+    let learned = speed.tokens_per_ms();
+    assert!((40.0..60.0).contains(&learned), "{learned} of 48");
+}
+
+/// Engines seen only when crowded: what is said of one stream stays possible.
+#[test]
+fn step_model_beyond_what_was_seen() {
+    let mut steps = StepModel::default();
+    for sample in 0..2_000_u32 {
+        let streams = 40 + sample % 24;
+        let millis = f64::from(streams) - 30.0;
+        steps.note(streams, 100.0, Duration::from_secs_f64(millis * 0.1));
+    }
+    let token = steps.token_ms(1.0);
+    assert!(token > 1.0, "{token} ms a token");
+}
+
 #[test]
 fn step_model_crowded_engine() {
     let mut steps = StepModel::default();
--- a/crates/policy/tests/once.rs
+++ b/crates/policy/tests/once.rs
@@ -17,8 +17,10 @@
     ClaimWish,
     SharedSecret,
     SideStamp,
+    TICKET_LIFETIME,
     TicketVault,
-    TicketVerdict, //
+    TicketVerdict,
+    body_digest, //
 };
 use proptest::prelude::*;
 use units::{
@@ -268,3 +270,38 @@
     let bound = shard.apply(over, &[wish("third", over)]).remove(0);
     assert!(matches!(bound, ClaimVerdict::Bound(record) if record.ticket == "third"));
 }
+
+/// A key that comes with another body is another call, and is told so while the first one holds.
+#[test]
+fn claim_with_another_body() {
+    let wish = |ticket: &str, body: &[u8]| ClaimWish {
+        key: ClaimKey::new(&account(), &call(), b"order-1"),
+        record: ClaimRecord {
+            ticket: ticket.into(),
+            body: body_digest(body),
+            at_ms: 0,
+        },
+        dead_ticket: Some("first".into()),
+    };
+    let mut shard = ClaimShard::default();
+    shard.apply(0, &[wish("first", b"one pie")]);
+    let verdict = shard.apply(1, &[wish("second", b"two pies")]).remove(0);
+    assert_eq!(verdict, ClaimVerdict::OtherBody);
+    let verdict = shard.apply(1, &[wish("third", b"one pie")]).remove(0);
+    assert!(matches!(verdict, ClaimVerdict::Bound(record) if record.ticket == "third"));
+}
+
+/// An unused ticket runs a call until the end of its lifetime, and never afterwards.
+#[test]
+fn present_at_end_of_lifetime() {
+    let issued = SideStamp(Duration::from_secs(5));
+    let end = SideStamp(issued.0 + TICKET_LIFETIME);
+    let before_end = SideStamp(end.0 - Duration::from_millis(1));
+    let mut side = new_side(0, 1, 0);
+    let late = side.vault.issue(issued, 1, &account(), &call());
+    let later = side.vault.issue(issued, 2, &account(), &call());
+    let verdict = side.vault.present(before_end, &late, &account(), &call());
+    assert!(matches!(verdict, TicketVerdict::Run));
+    let verdict = side.vault.present(end, &later, &account(), &call());
+    assert!(matches!(verdict, TicketVerdict::Unknown(_)));
+}
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -19,6 +19,7 @@
     PromptChain,
     PromptLoad,
     ReadPlace,
+    SendOutcome,
     place_call,
     place_decode,
     place_prefill,
@@ -221,6 +222,71 @@
     }
 }
 
+/// Tokens to read at an engine, which is chosen as all others have far too much to do.
+fn uncached(site: &Site, instance: &InstanceId, chain: &PromptChain) -> u32 {
+    let mut fleet = site.fleet.clone();
+    let busy = OpenWork {
+        requests: 1_000,
+        prompts: PromptLoad::new(ReadPlace::of_rank(0), 10_000_000),
+        ..OpenWork::NONE
+    };
+    let others = fleet.views_mut();
+    others
+        .filter(|view| view.record.instance != *instance)
+        .for_each(|view| view.open.add(busy));
+    let place = ReadPlace::of_rank(1);
+    let placed = place_prefill(&fleet, Instant::now(), site.need(), chain, place, SPEED).unwrap();
+    assert_eq!(placed.instance, *instance);
+    placed.uncached
+}
+
+fn read(site: &mut Site, instance: &InstanceId, chain: &PromptChain, memory_tokens: u64) {
+    let view = site.fleet.get_mut(instance).unwrap();
+    view.note_read(chain, memory_tokens);
+}
+
+/// An engine's memory holds the manuals used last: the oldest has to be read again.
+#[test]
+fn place_prefill_evicted_manual() {
+    let mut site = prefill_site(1);
+    let engine: InstanceId = "p-0".parse().unwrap();
+    for manual in 0..4 {
+        read(&mut site, &engine, &chain(0x100 + manual, 1), 20_000);
+    }
+    // 14,000 tokens are counted on: two manuals of 4,870 and the common part. As the only engine it
+    // counts as home of the others, with most of their tokens.
+    let kept = |manual: u32| 11_992 - uncached(&site, &engine, &chain(0x100 + manual, 9));
+    assert_eq!([kept(3), kept(2)], [5_382, 5_382]);
+    assert!(kept(0) < 5_382);
+}
+
+/// A part that is kept is of no use without those before it.
+#[test]
+fn place_prefill_part_without_its_start() {
+    let mut site = prefill_site(2);
+    let engine: InstanceId = "p-0".parse().unwrap();
+    let is_away = |manual: &u32| site.prefill(&chain(*manual, 2)).instance != engine;
+    let manual = (0x100..0x200).find(is_away).unwrap();
+    let alone: PromptChain = format!("{manual:x}:4870,1:10").parse().unwrap();
+    read(&mut site, &engine, &alone, 500_000);
+    assert_eq!(uncached(&site, &engine, &chain(manual, 2)), 11_992);
+}
+
+/// An engine that runs anew under the same instance keeps nothing.
+#[test]
+fn place_prefill_engine_started_again() {
+    let mut site = prefill_site(2);
+    let engine: InstanceId = "p-0".parse().unwrap();
+    let is_away = |manual: &u32| site.prefill(&chain(*manual, 9)).instance != engine;
+    let chain = chain((0x100..0x200).find(is_away).unwrap(), 9);
+    read(&mut site, &engine, &chain, 500_000);
+    assert_eq!(uncached(&site, &engine, &chain), 6_610);
+    let mut record = site.fleet.get(&engine).unwrap().record.clone();
+    record.born_ms = Some(1);
+    site.fleet.upsert(record);
+    assert_eq!(uncached(&site, &engine, &chain), 11_992);
+}
+
 /// Streams spread over decode engines rather than fill one.
 #[test]
 fn place_decode_spreads_streams() {
@@ -239,6 +305,78 @@
     assert!(counts.values().all(|count| *count == 30), "{counts:?}");
 }
 
+/// Few streams of long prompts fill an engine's memory: new ones go to a crowded one with room.
+#[test]
+fn place_decode_full_memory() {
+    let engines = [
+        ("d-full", "a", EngineStage::Decode),
+        ("d-room", "a", EngineStage::Decode),
+    ];
+    let mut site = Site::new(&engines);
+    let [full, room] = ["d-full", "d-room"].map(|name| name.parse::<InstanceId>().unwrap());
+    site.load(&full, 10, 0);
+    site.load(&room, 30, 0);
+    let memory = SPEED.memory_tokens * 9 / 10;
+    site.fleet.get_mut(&full).unwrap().open.memory_tokens = memory;
+    assert_eq!(site.decode(&chain(0x100, 1), Some("a")).instance, room);
+}
+
+/// An engine that answers a third of its prompts with errors gets less, and is not shut out.
+#[test]
+fn place_prefill_failing_engine() {
+    let mut site = prefill_site(2);
+    let [failing, sound] = ["p-0", "p-1"].map(|name| name.parse::<InstanceId>().unwrap());
+    let now = Instant::now();
+    for answer in 0..60 {
+        let outcome = if answer % 3 == 0 {
+            SendOutcome::Error
+        } else {
+            SendOutcome::Served
+        };
+        site.fleet.note(now, &failing, outcome);
+        site.fleet.note(now, &sound, SendOutcome::Served);
+    }
+    // A prompt of its own parts only has no home.
+    let chain: PromptChain = "b1:200".parse().unwrap();
+    site.load(&sound, 1, 1_000);
+    assert_eq!(site.prefill(&chain).instance, sound);
+    site.load(&sound, 20, 40_000);
+    assert_eq!(site.prefill(&chain).instance, failing);
+}
+
+/// Of two servers alike, the near one is taken until it is busier.
+#[test]
+fn place_call_near_first() {
+    let mut site = Site::with(&[("s-far", "b", None), ("s-near", "a", None)]);
+    let [far, near] = ["s-far", "s-near"].map(|name| name.parse::<InstanceId>().unwrap());
+    for instance in [&far, &near] {
+        site.fleet.note_time(instance, Duration::from_millis(30));
+    }
+    let placed = |site: &Site| place_call(&site.fleet, Instant::now(), site.need()).unwrap();
+    assert_eq!(placed(&site).instance, near);
+    site.load(&near, 64, 0);
+    assert_eq!(placed(&site).instance, far);
+}
+
+/// Less urgent prompts are partly under way: of two engines alike, the idle one is taken.
+#[test]
+fn place_prefill_beside_less_urgent() {
+    let mut site = prefill_site(2);
+    let first: InstanceId = "p-0".parse().unwrap();
+    site.load_rank(&first, 2, 20, 36_000);
+    let chain: PromptChain = "b1:200".parse().unwrap();
+    let place = ReadPlace::of_rank(0);
+    let placed = place_prefill(
+        &site.fleet,
+        Instant::now(),
+        site.need(),
+        &chain,
+        place,
+        SPEED,
+    );
+    assert_ne!(placed.unwrap().instance, first);
+}
+
 /// A long KV cache stays in its data centre unless the engines there are much fuller.
 #[test]
 fn place_decode_near_the_kv_cache() {
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -6,7 +6,8 @@
 
 use policy::{
     RepeatBudget,
-    RepeatTerms, //
+    RepeatTerms,
+    RetryBudget, //
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -49,6 +50,20 @@
     assert!(!budget.spend(start + TERMS.window, 0));
 }
 
+/// The entry's own budget: 20 at once, then one for each five requests.
+#[test]
+fn retry_budget_share_of_requests() {
+    let mut budget = RetryBudget::new();
+    let burst = (0..1_000).filter(|_| budget.spend()).count();
+    assert_eq!(burst, 20);
+    let mut spent = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        spent += usize::from(budget.spend());
+    }
+    assert!((195..=200).contains(&spent), "{spent} of 1,000 requests");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(200))]
     /// Each step lets time pass at one of three gateways, where a request comes and some repeats are
--- a/crates/policy/tests/stages.rs
+++ b/crates/policy/tests/stages.rs
@@ -131,6 +131,22 @@
     assert!(changes <= 2, "{changes} changes");
 }
 
+/// One engine of eighteen on the wrong side: a change would cost more than it brings.
+#[test]
+fn plan_one_engine_off() {
+    for prefill in [9, 11] {
+        let mut engines = sights(prefill, 18 - prefill);
+        let changes = run(
+            &mut StagePlanner::default(),
+            &mut engines,
+            Instant::now(),
+            30,
+            |_| demand(8.0, 5.8),
+        );
+        assert_eq!(changes, 0, "from {prefill} of 18");
+    }
+}
+
 /// A mix that shifts for good is followed within minutes.
 #[test]
 fn plan_lasting_shift() {
--- a/crates/web/src/bounds.rs
+++ b/crates/web/src/bounds.rs
@@ -7,7 +7,7 @@
 /// Bounds on one connection. Open connections follow a change when they next wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionBounds {
-    /// Bytes of a request's head.
+    /// Bytes of a request's head. An open connection keeps the room that it was given first.
     pub header_bytes: usize,
     /// Time for a head to arrive, from its first byte to its last.
     pub header_time: Duration,
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -50,6 +50,8 @@
 
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause of a connection's timer while a request is served; the end of its reply sets it anew.
+const SERVE_PAUSE: Duration = Duration::from_secs(60);
 /// Room beside a head, so that one over its bound is told apart from a connection's own limit.
 const SPARE_BYTES: usize = 16 * 1024;
 
@@ -143,7 +145,7 @@
         stream,
         wait: wait.clone(),
     };
-    let buffer_bytes = bounds.borrow().header_bytes + SPARE_BYTES;
+    let buffer_bytes = bounds.borrow().header_bytes.saturating_add(SPARE_BYTES);
     let connection = http1::Builder::new()
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
@@ -165,7 +167,7 @@
     wait: &ConnectionWait,
     bounds: &watch::Receiver<ConnectionBounds>,
 ) -> Option<WaitEnd> {
-    let timer = sleep(bounds.borrow().header_time);
+    let timer = sleep(SERVE_PAUSE);
     tokio::pin!(timer);
     poll_fn(|context| {
         if connection.as_mut().poll(context).is_ready() {
@@ -183,7 +185,7 @@
             match due {
                 Some((due, end)) if due <= now => return Poll::Ready(Some(end)),
                 Some((due, _)) => timer.as_mut().reset(due),
-                None => timer.as_mut().reset(now + bounds.borrow().header_time),
+                None => timer.as_mut().reset(now + SERVE_PAUSE),
             }
         }
         Poll::Pending
