policy, gateway: the place of a prompt gives its priority

Cause: a prompt that is read last got its place in one piece of code and its priority in another, which the sender of prefill calls had to put over the usual one. What a placement needs to know was written out twice.

Change: PromptUrgency::priority takes the place, SendFacts are made from it, and CallContext::placement_need serves plain calls and streams. No change of behaviour; the tests keep their assertions, the one of a flood now goes the daemon's way from prediction to priority.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -21,6 +21,7 @@
 use policy::{
     EngineSpeed,
     Placement,
+    PlacementNeed,
     PromptUrgency,
     ReadPlace,
     RouteRule, //
@@ -87,14 +88,23 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// What a placement needs to know of the request.
+    pub(crate) fn placement_need<'a>(&'a self, sent: &'a SendCount) -> PlacementNeed<'a> {
+        PlacementNeed {
+            service: &self.service,
+            centre: &self.shared.settings.data_centre,
+            avoid: &sent.avoid,
+        }
+    }
+
     /// What a send to a backend server says beside the caller's headers.
-    pub(crate) fn send_facts(&self, instance: &InstanceId) -> SendFacts {
+    pub(crate) fn send_facts(&self, instance: &InstanceId, place: ReadPlace) -> SendFacts {
         let speed = self.shared.lock().speed(&self.service);
         let whole_read = speed.read_time(self.facts.chain.tokens());
         SendFacts {
             instance: instance.clone(),
             time_left: Some(self.time_left()),
-            priority: self.urgency().priority(whole_read),
+            priority: self.urgency().priority(place, whole_read),
             prefill_only: false,
             source: None,
             resume_after: None,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -8,10 +8,8 @@
 
 use hyper::Response;
 use policy::{
-    LAST_PRIORITY,
     OpenWork,
     Placement,
-    PlacementNeed,
     PromptLoad,
     ReadPlace,
     place_decode,
@@ -157,21 +155,13 @@
     None
 }
 
-fn need<'a>(call: &'a CallContext, sent: &'a SendCount) -> PlacementNeed<'a> {
-    PlacementNeed {
-        service: &call.service,
-        centre: &call.shared.settings.data_centre,
-        avoid: &sent.avoid,
-    }
-}
-
 /// The prefill engine for a prompt, unless a decode engine had better read it itself.
 fn choose_prefill(call: &CallContext, sent: &SendCount) -> Option<ChosenEngine> {
     let now = Instant::now();
     let mut state = call.shared.lock();
     let speed = state.speed(&call.service);
     let chain = &call.facts.chain;
-    let need = need(call, sent);
+    let need = call.placement_need(sent);
     let place = call.urgency().place();
     let apart = place_prefill(&state.fleet, now, need, chain, place, speed);
     if sent.is_untried() {
@@ -209,7 +199,8 @@
     let speed = state.speed(&call.service);
     let chain = &call.facts.chain;
     let source = handle.map(|handle| &handle.centre);
-    let placement = place_decode(&state.fleet, now, need(call, sent), chain, speed, source)?;
+    let need = call.placement_need(sent);
+    let placement = place_decode(&state.fleet, now, need, chain, speed, source)?;
     let place = call.urgency().place();
     take_engine(
         call,
@@ -259,11 +250,8 @@
         .get(instance)
         .map_or(0, |view| view.total().prompts.total());
     let open = OpenGuard::new(&call.shared, instance, work);
-    let mut facts = call.send_facts(instance);
+    let mut facts = call.send_facts(instance, engine.place);
     facts.prefill_only = true;
-    if engine.place == ReadPlace::LAST {
-        facts.priority = LAST_PRIORITY;
-    }
     let began = Instant::now();
     let answer = open_send(call, engine.address, &facts).await?;
     let answer = read_whole(call, answer).await?;
@@ -305,7 +293,7 @@
         memory_tokens: u64::from(call.facts.chain.tokens()) + u64::from(output),
     };
     let open = OpenGuard::new(&call.shared, instance, work);
-    let mut facts = call.send_facts(instance);
+    let mut facts = call.send_facts(instance, engine.place);
     facts.resume_after = resume_after;
     if let Some(handle) = handle.as_mut() {
         handle.taken = true;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -8,7 +8,6 @@
 use policy::{
     OpenWork,
     Placement,
-    PlacementNeed,
     place_call, //
 };
 use tokio::time::Instant;
@@ -49,7 +48,7 @@
         };
         let open = OpenGuard::new(&call.shared, &instance, work);
         let began = Instant::now();
-        let facts = call.send_facts(&instance);
+        let facts = call.send_facts(&instance, call.urgency().place());
         let result = match open_send(call, address, &facts).await {
             Ok(answer) => read_whole(call, answer).await,
             Err(trouble) => Err(trouble),
@@ -101,11 +100,7 @@
 /// The backend server to send to next, of those that were not tried.
 fn choose(call: &CallContext, sent: &SendCount) -> Option<(Placement, SocketAddr)> {
     let state = call.shared.lock();
-    let need = PlacementNeed {
-        service: &call.service,
-        centre: &call.shared.settings.data_centre,
-        avoid: &sent.avoid,
-    };
+    let need = call.placement_need(sent);
     let placement = place_call(&state.fleet, Instant::now(), need)?;
     let address = state.fleet.get(&placement.instance)?.record.address;
     Some((placement, address))
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -22,9 +22,12 @@
 }
 
 impl PromptUrgency {
-    /// Priority, 0 being the most urgent, of a request whose whole prompt takes some time to read. A
-    /// prompt that takes most of its target would make many small ones late.
-    pub fn priority(self, whole_read: Duration) -> u8 {
+    /// Priority, 0 being the most urgent, of a request in some place whose whole prompt takes some
+    /// time to read. A prompt that takes most of its target would make many small ones late.
+    pub fn priority(self, place: ReadPlace, whole_read: Duration) -> u8 {
+        if place == ReadPlace::LAST {
+            return LAST_PRIORITY;
+        }
         let share = whole_read.as_secs_f64() / self.target.as_secs_f64().max(0.001);
         let steps = SIZE_SHARES.iter().filter(|step| share >= **step).count();
         let base = self.rank.saturating_mul(RANK_STRIDE);
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -52,11 +52,7 @@
 }
 
 fn decide(begin: Duration) -> u8 {
-    if DRAFT.is_late(begin, READ) {
-        LAST_PRIORITY
-    } else {
-        DRAFT.priority(READ)
-    }
+    DRAFT.priority(DRAFT.place_at(begin, READ), READ)
 }
 
 /// Twice as many drafts as the engine reads, for as long as queues grow far beyond the target: a
@@ -65,7 +61,7 @@
 fn prompts_flood_of_one_rank() {
     let pause = READ / 2;
     let burst = Duration::from_secs(20);
-    let fixed = share_in_time(pause, burst, |_| DRAFT.priority(READ));
+    let fixed = share_in_time(pause, burst, |_| DRAFT.priority(DRAFT.place(), READ));
     let yielding = share_in_time(pause, burst, decide);
     assert!(fixed < 0.1, "{fixed}");
     // The engine reads half of what comes.
@@ -77,7 +73,7 @@
 fn prompts_within_capacity() {
     let share = share_in_time(READ, Duration::from_secs(20), |begin| {
         assert!(!DRAFT.is_late(begin, READ), "{begin:?}");
-        DRAFT.priority(READ)
+        DRAFT.priority(DRAFT.place(), READ)
     });
     assert_eq!(share, 1.0);
 }
@@ -107,7 +103,7 @@
     ];
     let order: Vec<u8> = [question, DRAFT]
         .iter()
-        .flat_map(|urgency| sizes.map(|size| urgency.priority(size)))
+        .flat_map(|urgency| sizes.map(|size| urgency.priority(urgency.place(), size)))
         .collect();
     assert!(order.is_sorted_by(|a, b| a < b), "{order:?}");
     assert!(*order.last().unwrap() < LAST_PRIORITY);
