gateway: log and count crash evidence and verdicts

The hypotheses of the incident predict different lines: evidence that is never seen, seen and not used, or lost on its way. Until now a line was written for own evidence only, without the count, the source or the server's incarnation, and a cleared or refused request left none. No change of behaviour.

--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -36,6 +36,7 @@
     ServerLoad, //
 };
 
+use crate::crash_suspects::record_peer_crash;
 use crate::shared::GatewayShared;
 
 /// Minimum and maximum interval between load reports to each peer.
@@ -149,8 +150,15 @@
 }
 
 fn accept_load_report(shared: &GatewayShared, sender: SocketAddr, data: &[u8]) {
-    let Ok(report) = GatewayLoad::decode(data) else {
-        return;
+    let report = match GatewayLoad::decode(data) {
+        Ok(report) => report,
+        Err(error) => {
+            let record =
+                DecisionRecord::new(DecisionKind::Member, "load report could not be decoded");
+            let record = record.input("error", error.to_string());
+            shared.log.write(record.input("bytes", data.len()));
+            return;
+        }
     };
     let Ok(peer) = report.instance.parse::<InstanceId>() else {
         return;
@@ -166,11 +174,11 @@
     let incarnation = IncarnationId(report.incarnation);
     state
         .peer_loads
-        .apply(now, peer, incarnation, report.number, loads);
+        .apply(now, peer.clone(), incarnation, report.number, loads);
+    drop(guard);
     for crash in &report.crashes {
         let fingerprint = FingerprintId(crash.fingerprint);
-        let id = CrashId(crash.crash);
-        state.suspects.record_crash(now, id, &[fingerprint]);
+        record_peer_crash(shared, &peer, fingerprint, CrashId(crash.crash));
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) retries: IntCounter,
     pub(crate) connections: IntCounter,
     pub(crate) store_calls: IntCounterVec,
+    pub(crate) crash_evidence: IntCounterVec,
+    pub(crate) suspect_verdicts: IntCounterVec,
     pub(crate) orders: IntCounterVec,
     pub(crate) config_version: IntGauge,
     pub(crate) latencies: LatencyMetrics,
@@ -30,6 +32,8 @@
     pub(crate) fn new() -> Self {
         let set = MetricSet::new("gateway");
         let outcomes_help = "Requests by how they ended";
+        let evidence_help = "Evidence that requests crash backend servers, by source";
+        let verdicts_help = "Verdicts on requests suspected of crashing backend servers";
         Self {
             requests: set.counter_vec("requests_total", "Requests by kind", "kind"),
             outcomes: set.counter_vec("outcomes_total", outcomes_help, "outcome"),
@@ -38,6 +42,8 @@
             retries: set.counter("repeats_total", "Sends beyond a request's first"),
             connections: set.counter("channels_total", "Connections opened to backend servers"),
             store_calls: set.counter_vec("store_calls_total", "Calls of the store", "outcome"),
+            crash_evidence: set.counter_vec("crash_evidence_total", evidence_help, "source"),
+            suspect_verdicts: set.counter_vec("suspect_verdicts_total", verdicts_help, "verdict"),
             orders: set.counter_vec("orders_total", "Orders to engines by answer", "answer"),
             config_version: set.gauge("config_version", "Version of the configuration in force"),
             latencies: LatencyMetrics::new(&set),
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -93,9 +93,16 @@
         is_new
     }
 
-    /// Removes a request that has been shown not to cause crashes.
-    pub fn clear(&mut self, fingerprint: FingerprintId) {
-        self.records.remove(&fingerprint);
+    /// Returns the number of crashes recorded for a request.
+    pub fn crash_count(&self, fingerprint: FingerprintId) -> usize {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0, |record| record.crashes.len())
+    }
+
+    /// Removes a request that has been shown not to cause crashes. Returns whether crashes were
+    /// recorded for it.
+    pub fn clear(&mut self, fingerprint: FingerprintId) -> bool {
+        self.records.remove(&fingerprint).is_some()
     }
 
     /// Returns the restrictions under which a request may run at `now`.
