--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -184,14 +184,15 @@
     /// Returns whether the request must run in isolation, or a failure if it is quarantined.
     fn requires_isolation(&self) -> Result<bool, CallerFailure> {
         let fingerprint = self.job.fingerprint;
-        match self
-            .shared
-            .lock()
-            .suspects
-            .verdict(Instant::now(), fingerprint)
-        {
+        let now = Instant::now();
+        let mut state = self.shared.lock();
+        match state.suspects.verdict(now, fingerprint, 0) {
             SuspectVerdict::Unrestricted => Ok(false),
             SuspectVerdict::Isolated => Ok(true),
+            SuspectVerdict::Trial => {
+                state.suspects.record_trial(now, fingerprint);
+                Ok(true)
+            }
             SuspectVerdict::Quarantined(duration) => {
                 let message = "this request crashed backend servers twice; change it or wait";
                 let mut failure = CallerFailure::not_run("quarantined", message, duration);
@@ -229,7 +230,8 @@
     fn clear_suspect(&self, isolated: bool) {
         if isolated {
             let fingerprint = self.job.fingerprint;
-            self.shared.lock().suspects.clear(fingerprint);
+            let mut state = self.shared.lock();
+            state.suspects.record_completed(Instant::now(), fingerprint);
         }
     }
 
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -14,6 +14,7 @@
     EngineRole,
     LoadReport,
     RankMap,
+    ServerCrash,
     SideTimestamp, //
 };
 use tokio::time::{
@@ -318,11 +319,13 @@
             .iter()
             .map(|fingerprint| FingerprintId(*fingerprint))
             .collect();
+        let now = Instant::now();
+        let Ok(server) = notice.instance.parse::<InstanceId>() else {
+            return;
+        };
+        let crash = ServerCrash::confirmed(CrashId(notice.crash), server, now);
         let mut state = self.lock();
-        if !state
-            .suspects
-            .record_crash(Instant::now(), CrashId(notice.crash), &fingerprints)
-        {
+        if !state.suspects.record_crash(now, crash, &fingerprints) {
             return;
         }
         for (instance, link) in &state.links {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,6 +31,7 @@
     PlannerLease,
     RetryBucket,
     SharedSecret,
+    SuspectLimits,
     SuspectRegistry, //
 };
 use rand::SeedableRng;
@@ -141,7 +142,7 @@
             attempts: AttemptTable::default(),
             latest_config: LatestConfig::default(),
             book: Arc::default(),
-            suspects: SuspectRegistry::default(),
+            suspects: SuspectRegistry::new(SuspectLimits::ISOLATING),
             request_pins: RequestPins::default(),
             retry_bucket: RetryBucket::new(),
             account_limiter: AccountLimiter::default(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,7 @@
 //! Responses to one attempt at a backend server, and the errors of attempts.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -30,6 +32,9 @@
     Unsure(&'static str),
     /// The deadline passed during the attempt.
     DeadlineExceeded,
+    /// The attempt was not made, since the request may crash backend servers. Holds the time for
+    /// which the request must not run.
+    Quarantined(Duration),
 }
 
 impl AttemptError {
@@ -39,6 +44,7 @@
             Self::Unreachable => "unreached",
             Self::NotProcessed(reason) | Self::Unsure(reason) => reason,
             Self::DeadlineExceeded => "out_of_time",
+            Self::Quarantined(_) => "kept_out",
         }
     }
 }
--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -1,5 +1,8 @@
-//! Records which requests were in flight when backend servers crashed, and quarantines those that
-//! cause crashes.
+//! Observes which requests were in flight when backend servers crashed, and refuses those that cause
+//! crashes.
+
+use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Method;
 use logs::{
@@ -8,20 +11,29 @@
 };
 use policy::{
     CrashId,
-    SuspectVerdict, //
+    CrashState,
+    ServerCrash,
+    SuspectEvidence,
+    SuspectVerdict,
+    member_turn, //
 };
 use tokio::time::Instant;
 use twox_hash::XxHash3_64;
 use units::{
     FingerprintId,
+    IncarnationId,
     InstanceId, //
 };
 
+use crate::attempt::AttemptError;
 use crate::request::RequestContext;
-use crate::shared::GatewayShared;
+use crate::shared::{
+    GatewayShared,
+    GatewayState, //
+};
 
-/// Number of latest crashes observed by this gateway that it reports to its peers.
-const MAX_SHARED_CRASHES: usize = 32;
+/// Number of crashes from which evidence is repeated and relayed to the peers.
+const REPEATED_CRASHES: usize = 2;
 
 /// Returns the fingerprint of a request, which is identical when a caller sends it again.
 pub(crate) fn request_fingerprint(method: &Method, path: &str, body: &[u8]) -> FingerprintId {
@@ -30,96 +42,211 @@
     FingerprintId(XxHash3_64::oneshot_with_seed(seed, body))
 }
 
-/// Records that the connection broke after a request was sent and before any part of the response
-/// arrived.
-pub(crate) fn record_crash(context: &RequestContext, instance: &InstanceId) {
-    let fingerprint = context.fingerprint;
-    let crash = CrashId(rand::random());
-    let mut state = context.shared.lock();
-    state
-        .suspects
-        .record_crash(Instant::now(), crash, &[fingerprint]);
-    state.own_crashes.push_back((fingerprint, crash));
-    if state.own_crashes.len() > MAX_SHARED_CRASHES {
-        state.own_crashes.pop_front();
-    }
-    let count = state.suspects.crash_count(fingerprint);
+/// Request under which a backend server may have crashed.
+#[derive(Debug, Clone)]
+pub(crate) struct CrashWitness {
+    pub(crate) fingerprint: FingerprintId,
+    pub(crate) request_id: String,
+}
+
+/// Records that the response of a backend server broke off or that the server fell silent.
+pub(crate) fn record_crash(
+    shared: &Arc<GatewayShared>,
+    witness: &CrashWitness,
+    instance: &InstanceId,
+    cause: &'static str,
+) {
+    let now = Instant::now();
+    let fingerprint = witness.fingerprint;
+    let mut guard = shared.lock();
+    let state = &mut *guard;
     let view = state.fleet.get(instance);
     let started_unix_ms = view.and_then(|view| view.record.started_unix_ms);
-    drop(state);
-    let metrics = &context.shared.metrics;
+    let mut crash = ServerCrash {
+        id: CrashId(rand::random()),
+        server: instance.clone(),
+        incarnation: started_unix_ms.map(IncarnationId),
+        at: now,
+        state: CrashState::Presumed,
+    };
+    crash.id = state.suspects.known_crash(&crash).unwrap_or(crash.id);
+    let is_new = state
+        .suspects
+        .record_crash(now, crash.clone(), &[fingerprint]);
+    let count = state.suspects.crash_count(fingerprint);
+    if is_new {
+        queue_news(shared, state, fingerprint);
+    }
+    drop(guard);
+    let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["own"]).inc();
-    let record = context
-        .record(
-            DecisionKind::Suspect,
-            "connection broke before a response; request recorded as a crash suspect",
-        )
+    let record = DecisionRecord::new(DecisionKind::Suspect, cause)
+        .request(&witness.request_id)
+        .chosen(instance)
         .input("fingerprint", fingerprint.to_string())
         .input("source", "own")
         .input("incarnation", started_unix_ms)
-        .input("crashes", count);
-    context.shared.log.write(record.chosen(instance));
+        .input("crashes", count)
+        .input("age_ms", 0);
+    shared.log.write(record);
 }
 
-/// Records a crash that a peer has reported.
-pub(crate) fn record_peer_crash(
+/// Queues the evidence on a suspect for the peers and the store.
+pub(crate) fn queue_news(
     shared: &GatewayShared,
-    peer: &InstanceId,
+    state: &mut GatewayState,
     fingerprint: FingerprintId,
-    crash: CrashId,
 ) {
-    let mut state = shared.lock();
-    let suspects = &mut state.suspects;
-    if !suspects.record_crash(Instant::now(), crash, &[fingerprint]) {
+    let is_repeated = state.suspects.crash_count(fingerprint) >= REPEATED_CRASHES;
+    state.suspect_news.report(fingerprint, is_repeated);
+    state.suspect_news.write(fingerprint);
+    shared.suspect_reports.notify_one();
+    shared.suspect_writes.notify_one();
+}
+
+/// Merges evidence that a peer has reported. Evidence of several crashes is relayed, since a gateway
+/// reports to a few peers only.
+pub(crate) fn merge_peer_evidence(
+    shared: &Arc<GatewayShared>,
+    peer: &InstanceId,
+    evidence: &SuspectEvidence,
+) {
+    let now = Instant::now();
+    let fingerprint = evidence.fingerprint;
+    let mut guard = shared.lock();
+    let state = &mut *guard;
+    if !state.suspects.merge(now, evidence) {
         return;
     }
-    let count = suspects.crash_count(fingerprint);
-    drop(state);
+    let count = state.suspects.crash_count(fingerprint);
+    if count >= REPEATED_CRASHES {
+        queue_news(shared, state, fingerprint);
+    }
+    drop(guard);
+    log_merged(shared, evidence, "peer", peer.as_str(), count);
+}
+
+/// Logs evidence that came from a peer or from the store.
+pub(crate) fn log_merged(
+    shared: &GatewayShared,
+    evidence: &SuspectEvidence,
+    source: &'static str,
+    origin: &str,
+    count: usize,
+) {
     let metrics = &shared.metrics;
-    metrics.crash_evidence.with_label_values(&["peer"]).inc();
+    metrics.crash_evidence.with_label_values(&[source]).inc();
+    let crashes = evidence.crashes.iter();
+    let servers = crashes.clone().map(|crash| {
+        let incarnation = crash.incarnation.map_or(0, |incarnation| incarnation.0);
+        format!("{}/{incarnation}", crash.server)
+    });
+    let latest = crashes.map(|crash| crash.at).max();
+    let latest = latest.max(evidence.completed_at);
     let record = DecisionRecord::new(
         DecisionKind::Suspect,
-        "crash reported by a peer; request recorded as a crash suspect",
-    );
-    let record = record
-        .input("fingerprint", fingerprint.to_string())
-        .input("source", "peer")
-        .input("peer", peer.to_string())
-        .input("crashes", count);
+        "evidence on a crash suspect received",
+    )
+    .considered(servers.collect())
+    .input("fingerprint", evidence.fingerprint.to_string())
+    .input("source", source)
+    .input("origin", origin)
+    .input("crashes", count)
+    .input("completed", evidence.completed_at.is_some())
+    .input("age_ms", latest.map(|at| at.elapsed().as_millis() as u64));
     shared.log.write(record);
 }
 
 /// Clears a request of suspicion after a successful response.
-pub(crate) fn clear_suspect(context: &RequestContext) {
-    let had_crashes = context.shared.lock().suspects.clear(context.fingerprint);
+pub(crate) fn record_completed(context: &RequestContext) {
+    let fingerprint = context.fingerprint;
+    let mut guard = context.shared.lock();
+    let state = &mut *guard;
+    let had_crashes = state.suspects.record_completed(Instant::now(), fingerprint);
     if had_crashes {
-        log_verdict(context, "cleared", "success response; request cleared", 0);
+        queue_news(&context.shared, state, fingerprint);
+    }
+    drop(guard);
+    if had_crashes {
+        let record = verdict_record(context, "cleared", "complete run; request cleared", 0);
+        context.shared.log.write(record);
     }
 }
 
-/// Logs and counts a verdict on a suspect.
-fn log_verdict(context: &RequestContext, verdict: &'static str, reason: &str, crashes: usize) {
+/// Counts a verdict on a suspect and returns its log record.
+fn verdict_record(
+    context: &RequestContext,
+    verdict: &'static str,
+    reason: &str,
+    crashes: usize,
+) -> DecisionRecord {
     let metrics = &context.shared.metrics;
     metrics.suspect_verdicts.with_label_values(&[verdict]).inc();
-    let record = context
+    context
         .record(DecisionKind::Suspect, reason)
         .input("fingerprint", context.fingerprint.to_string())
         .input("verdict", verdict)
-        .input("crashes", crashes);
-    context.shared.log.write(record);
+        .input("crashes", crashes)
 }
 
-/// Returns whether a request is quarantined.
-pub(crate) fn is_quarantined(context: &RequestContext) -> bool {
-    let state = context.shared.lock();
-    let suspects = &state.suspects;
-    let verdict = suspects.verdict(Instant::now(), context.fingerprint);
-    let crashes = suspects.crash_count(context.fingerprint);
-    drop(state);
-    let is_quarantined = matches!(verdict, SuspectVerdict::Quarantined(_));
-    if is_quarantined {
-        let reason = "request refused; it crashed too many backend servers";
-        log_verdict(context, "quarantined", reason, crashes);
+/// Checks whether a request may be sent to a backend server, and starts the trial if it is one.
+///
+/// Applies to each attempt, since the request may have caused a crash since the last one.
+pub(crate) fn check_suspect(context: &RequestContext) -> Result<(), AttemptError> {
+    let fingerprint = context.fingerprint;
+    let now = Instant::now();
+    let mut state = context.shared.lock();
+    let count = state.suspects.crash_count(fingerprint);
+    if count == 0 || context.trial_crashes.get() == Some(&count) {
+        return Ok(());
+    }
+    let own_instance = &context.shared.settings.instance;
+    let turn = member_turn(&fingerprint.to_string(), own_instance, state.members.keys());
+    let verdict = state.suspects.verdict(now, fingerprint, turn);
+    let evidence = state.suspects.evidence(fingerprint);
+    match verdict {
+        SuspectVerdict::Unrestricted | SuspectVerdict::Isolated => return Ok(()),
+        SuspectVerdict::Trial => {
+            state.suspects.record_trial(now, fingerprint);
+            queue_news(&context.shared, &mut state, fingerprint);
+            // A request is tried once; a later attempt finds the trial already set.
+            let _ = context.trial_crashes.set(count);
+        }
+        SuspectVerdict::Quarantined(_) => {}
     }
-    is_quarantined
+    drop(state);
+    let reason = match verdict {
+        SuspectVerdict::Trial => "quarantine has ended; request runs once more",
+        _ => "request refused; it may have crashed these backend servers",
+    };
+    let record = verdict_record(context, verdict.as_str(), reason, count);
+    let crashes = evidence.into_iter().flat_map(|evidence| evidence.crashes);
+    let crashes = crashes.map(|crash| describe_crash(&crash)).collect();
+    let record = record.considered(crashes);
+    let SuspectVerdict::Quarantined(remaining) = verdict else {
+        context.shared.log.write(record);
+        return Ok(());
+    };
+    let remaining_ms = remaining.as_millis() as u64;
+    context
+        .shared
+        .log
+        .write(record.input("remaining_ms", remaining_ms));
+    Err(AttemptError::Quarantined(remaining))
+}
+
+/// Returns the server, incarnation, age and state of a crash for the log.
+fn describe_crash(crash: &ServerCrash) -> String {
+    let incarnation = crash.incarnation.map_or(0, |incarnation| incarnation.0);
+    let age: Duration = crash.at.elapsed();
+    let state = match crash.state {
+        CrashState::Presumed => "presumed",
+        CrashState::Confirmed => "confirmed",
+        CrashState::Outlived => "outlived",
+    };
+    format!(
+        "{}/{incarnation}: {state}, {} ms ago",
+        crash.server,
+        age.as_millis()
+    )
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -53,6 +53,7 @@
     expire_backends,
     watch_store, //
 };
+use crate::suspect_store::write_suspects;
 
 /// Time for which a draining gateway still accepts connections. The load balancer probes readiness
 /// once a second and stops sending requests after two probes that report not ready.
@@ -125,6 +126,7 @@
             tokio::spawn(watch_store(shared.clone())),
             tokio::spawn(expire_backends(shared.clone())),
             tokio::spawn(maintain_leases(shared.clone())),
+            tokio::spawn(write_suspects(shared.clone())),
             tokio::spawn(plan_stages(shared.clone())),
             tokio::spawn(send_load_reports(shared.clone(), socket.clone())),
             tokio::spawn(receive_load_reports(shared.clone(), socket)),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -123,6 +123,7 @@
         AttemptError::NotProcessed(_) => history.refused += 1,
         AttemptError::Unsure(_) => history.maybe_processed += 1,
         AttemptError::DeadlineExceeded => return Err(RequestError::DeadlineExceeded),
+        AttemptError::Quarantined(remaining) => return Err(history.quarantine_error(*remaining)),
     }
     let reason = error.as_str();
     if history.refused >= MAX_REFUSALS || history.unreachable >= MAX_UNREACHABLE_SERVERS {
@@ -153,7 +154,7 @@
                 history.prefill_attempts += 1;
                 return Some(kv_cache);
             }
-            Err(AttemptError::DeadlineExceeded) => return None,
+            Err(AttemptError::DeadlineExceeded | AttemptError::Quarantined(_)) => return None,
             Err(error) => {
                 // The limit of prefill attempts covers only those that reached an engine.
                 history.prefill_attempts += u32::from(error != AttemptError::Unreachable);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,10 @@
 mod shared;
 mod stages;
 mod store_watch;
+mod suspect_news;
+mod suspect_record;
+mod suspect_report;
+mod suspect_store;
 
 pub use daemon::GatewayDaemon;
 pub use error::GatewayError;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -14,7 +14,6 @@
 };
 use policy::{
     BackendLoad,
-    CrashId,
     PrefillBacklog,
     choose_members, //
 };
@@ -22,22 +21,25 @@
 use tokio::net::UdpSocket;
 use tokio::time::{
     Instant,
-    sleep, //
+    sleep,
+    timeout, //
 };
 use twox_hash::XxHash3_64;
 use units::{
-    FingerprintId,
     IncarnationId,
     InstanceId, //
 };
 use wire::{
-    CrashSuspect,
     GatewayLoad,
     ServerLoad, //
 };
 
-use crate::crash_suspects::record_peer_crash;
+use crate::crash_suspects::merge_peer_evidence;
 use crate::shared::GatewayShared;
+use crate::suspect_report::{
+    parse_report,
+    to_report, //
+};
 
 /// Minimum and maximum interval between load reports to each peer.
 const REPORT_INTERVALS: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(400)];
@@ -63,7 +65,10 @@
     let mut number = 0;
     let [mut interval, longest_interval] = REPORT_INTERVALS;
     loop {
-        sleep(interval).await;
+        // Evidence on suspects is sent at once, but no sooner than the shortest interval allows.
+        sleep(REPORT_INTERVALS[0]).await;
+        let remaining = interval.saturating_sub(REPORT_INTERVALS[0]);
+        let _ = timeout(remaining, shared.suspect_reports.notified()).await;
         number += 1;
         let report = build_load_report(&shared, incarnation, number).encode_to_vec();
         let peers = choose_peers(&shared);
@@ -94,7 +99,14 @@
     incarnation: IncarnationId,
     number: u64,
 ) -> GatewayLoad {
-    let state = shared.lock();
+    let now = Instant::now();
+    let mut guard = shared.lock();
+    let state = &mut *guard;
+    let suspects = &state.suspects;
+    let count = |fingerprint| suspects.crash_count(fingerprint);
+    let reported = state.suspect_news.take_reported(count).into_iter();
+    let evidence = reported.filter_map(|fingerprint| suspects.evidence(fingerprint));
+    let suspects = evidence.map(|evidence| to_report(now, &evidence)).collect();
     let busy_views = state
         .fleet
         .views()
@@ -105,19 +117,12 @@
         prompt_tokens: view.own_load.prefill_backlog.counts(),
         memory_tokens: view.own_load.kv_cache_tokens.try_into().unwrap_or(u32::MAX),
     });
-    let crashes = state
-        .own_crashes
-        .iter()
-        .map(|(fingerprint, crash)| CrashSuspect {
-            fingerprint: fingerprint.0,
-            crash: crash.0,
-        });
     GatewayLoad {
         instance: shared.settings.instance.to_string(),
         incarnation: incarnation.0,
         number,
         loads: loads.collect(),
-        crashes: crashes.collect(),
+        suspects,
     }
 }
 
@@ -149,7 +154,7 @@
     }
 }
 
-fn accept_load_report(shared: &GatewayShared, sender: SocketAddr, data: &[u8]) {
+fn accept_load_report(shared: &Arc<GatewayShared>, sender: SocketAddr, data: &[u8]) {
     let report = match GatewayLoad::decode(data) {
         Ok(report) => report,
         Err(error) => {
@@ -176,9 +181,8 @@
         .peer_loads
         .apply(now, peer.clone(), incarnation, report.number, loads);
     drop(guard);
-    for crash in &report.crashes {
-        let fingerprint = FingerprintId(crash.fingerprint);
-        record_peer_crash(shared, &peer, fingerprint, CrashId(crash.crash));
+    for suspect in &report.suspects {
+        merge_peer_evidence(shared, &peer, &parse_report(now, suspect));
     }
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -99,6 +99,9 @@
                 context.log_retry(&instance, reason);
             }
             Err(AttemptError::DeadlineExceeded) => return Err(RequestError::DeadlineExceeded),
+            Err(AttemptError::Quarantined(remaining)) => {
+                return Err(history.quarantine_error(remaining));
+            }
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,7 +1,10 @@
 //! A request of a caller and the history of its attempts.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    OnceLock, //
+};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,6 +37,7 @@
     ServiceName, //
 };
 
+use crate::crash_suspects::CrashWitness;
 use crate::request_error::RequestError;
 use crate::shared::GatewayShared;
 
@@ -49,6 +53,8 @@
     pub(crate) body: Bytes,
     /// Identical when a caller sends the same request again.
     pub(crate) fingerprint: FingerprintId,
+    /// Number of crashes at which the request is tried once more in spite of them.
+    pub(crate) trial_crashes: OnceLock<usize>,
     pub(crate) metadata: RequestMetadata,
     /// When the request arrived.
     pub(crate) started: Instant,
@@ -63,6 +69,14 @@
         String::from_utf8_lossy(&self.metadata.request_id).into_owned()
     }
 
+    /// Returns the request as a witness of crashes.
+    pub(crate) fn witness(&self) -> CrashWitness {
+        CrashWitness {
+            fingerprint: self.fingerprint,
+            request_id: self.id(),
+        }
+    }
+
     /// Returns the rank and the target that determine the prompt's queue position.
     pub(crate) fn urgency(&self) -> PromptUrgency {
         PromptUrgency {
@@ -214,6 +228,16 @@
         self.is_first_attempt() && self.prefill_attempts + self.unreachable == 0
     }
 
+    /// Returns the error for a request that must not be sent for some time, since it may crash
+    /// backend servers.
+    pub(crate) fn quarantine_error(&self, remaining: Duration) -> RequestError {
+        if self.maybe_processed > 0 {
+            RequestError::Unsure("kept_out")
+        } else {
+            RequestError::Quarantined(remaining)
+        }
+    }
+
     /// Returns the error for a request that is not sent again, according to whether any attempt may
     /// have been processed.
     pub(crate) fn final_error(&self, reason: &'static str) -> RequestError {
--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -37,8 +37,9 @@
     Unavailable(&'static str),
     /// The request was not processed; this gateway is draining and could not finish it in time.
     Draining,
-    /// The request was not processed; the same request has crashed backend servers.
-    Quarantined,
+    /// The request was not processed; the same request may have crashed backend servers. Holds the
+    /// time for which it must not run.
+    Quarantined(Duration),
     /// The request may have been processed.
     Unsure(&'static str),
     /// The deadline passed, and the request may have been processed.
@@ -47,8 +48,6 @@
 
 /// Delay before a retry of a request that no backend server accepted.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Delay before a retry of a request that crashes backend servers.
-const QUARANTINE_RETRY_DELAY: Duration = Duration::from_secs(60);
 /// Delay before a retry while the gateway drains: time for the load balancer to switch to another
 /// gateway, or for this one to return.
 const DRAINING_RETRY_DELAY: Duration = Duration::from_millis(1_500);
@@ -66,7 +65,7 @@
             Self::BodyTooLarge => "too_large",
             Self::IncompleteBody => "bad_body",
             Self::Unavailable(reason) | Self::Unsure(reason) => reason,
-            Self::Quarantined => "kept_out",
+            Self::Quarantined(_) => "kept_out",
             Self::Draining => "leaving",
             Self::DeadlineExceeded => "out_of_time",
         }
@@ -77,7 +76,7 @@
         match self {
             Self::NotConfigured => Some(UNCONFIGURED_RETRY_DELAY),
             Self::Unavailable(_) => Some(UNAVAILABLE_RETRY_DELAY),
-            Self::Quarantined => Some(QUARANTINE_RETRY_DELAY),
+            Self::Quarantined(remaining) => Some(remaining),
             Self::Draining => Some(DRAINING_RETRY_DELAY),
             _ => None,
         }
@@ -85,7 +84,7 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NotConfigured | Self::Unavailable(_) | Self::Draining | Self::Quarantined => {
+            Self::NotConfigured | Self::Unavailable(_) | Self::Draining | Self::Quarantined(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -37,7 +37,7 @@
     OpenResponse, //
 };
 use crate::crash_suspects::{
-    clear_suspect,
+    record_completed,
     record_crash, //
 };
 use crate::request::RequestContext;
@@ -69,8 +69,16 @@
         context.shared.record_liveness(&metadata.instance);
     }
     match &result {
-        Err(AttemptError::Unsure("connection_broke")) => record_crash(context, &metadata.instance),
-        Ok(response) if response.http.status().is_success() => clear_suspect(context),
+        Err(AttemptError::Unsure("connection_broke")) => {
+            let cause = "connection broke before a response";
+            record_crash(
+                &context.shared,
+                &context.witness(),
+                &metadata.instance,
+                cause,
+            );
+        }
+        Ok(response) if response.http.status().is_success() => record_completed(context),
         _ => {}
     }
     record_attempt(context, &metadata.instance, &result);
@@ -91,7 +99,9 @@
         Err(e @ AttemptError::Unreachable) => (e.as_str(), Some(AttemptOutcome::Unreachable)),
         Err(AttemptError::NotProcessed(reason)) => (*reason, Some(AttemptOutcome::Refused)),
         Err(AttemptError::Unsure(reason)) => (*reason, Some(AttemptOutcome::ConnectionBroken)),
-        Err(AttemptError::DeadlineExceeded) => ("out_of_time", None),
+        Err(e @ (AttemptError::DeadlineExceeded | AttemptError::Quarantined(_))) => {
+            (e.as_str(), None)
+        }
     };
     context
         .shared
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,9 @@
 //! Accepts a request of a caller: finds its route, reads its body, sets its deadline and serves it.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    OnceLock, //
+};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,8 +30,9 @@
     read_body, //
 };
 
+use crate::attempt::AttemptError;
 use crate::crash_suspects::{
-    is_quarantined,
+    check_suspect,
     request_fingerprint, //
 };
 use crate::generation::serve_generation;
@@ -130,9 +134,10 @@
         started,
         deadline,
         rule,
+        trial_crashes: OnceLock::new(),
     });
-    if is_quarantined(&context) {
-        return Err(RequestError::Quarantined);
+    if let Err(AttemptError::Quarantined(remaining)) = check_suspect(&context) {
+        return Err(RequestError::Quarantined(remaining));
     }
     let serving = async {
         if context.rule.kind.is_stream() {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,9 +1,6 @@
 //! State shared by the tasks of a gateway.
 
-use std::collections::{
-    BTreeMap,
-    VecDeque, //
-};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{
     Arc,
@@ -18,7 +15,6 @@
 use policy::{
     BackendFleet,
     CallKind,
-    CrashId,
     DecodeSpeed,
     EngineCapacity,
     OfferedRate,
@@ -28,13 +24,16 @@
     RetryBudget,
     RetryLimits,
     RouteTable,
+    SuspectLimits,
     SuspectRegistry,
     accepts_while_draining, //
 };
-use tokio::sync::watch;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
 use tokio::time::Instant;
 use units::{
-    FingerprintId,
     InstanceId,
     ServiceName, //
 };
@@ -45,14 +44,11 @@
 
 use crate::membership::PLANNER_LEASE_TTL;
 use crate::metrics::GatewayMetrics;
+use crate::suspect_news::SuspectNews;
 
 /// Timeout of one store call.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Number of crashes after which a request is quarantined. A crash also fails the other requests on
-/// the same engine, so one or two crashes are weak evidence against a request.
-const CRASH_LIMIT: usize = 3;
-
 /// Limits on callers' connections until the configuration is known, equal to those of the platform's
 /// example configuration.
 const DEFAULT_CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
@@ -94,8 +90,8 @@
     pub(crate) peer_loads: PeerLoads,
     /// Requests that were running on backend servers that crashed.
     pub(crate) suspects: SuspectRegistry,
-    /// Latest crashes that this gateway observed itself and reports to its peers.
-    pub(crate) own_crashes: VecDeque<(FingerprintId, CrashId)>,
+    /// Evidence on suspects that has yet to reach the peers and the store.
+    pub(crate) suspect_news: SuspectNews,
     /// Planner lease as known to this gateway, which allows orders while the gateway holds it.
     pub(crate) order_lease: OrderLease,
     /// Limits that the platform sets on retries.
@@ -126,6 +122,10 @@
     pub(crate) store: KeyStore,
     /// Limits on callers' connections from the configuration.
     pub(crate) connection_limits: watch::Sender<ConnectionLimits>,
+    /// Wakes the task that reports to the peers when evidence on suspects is queued for them.
+    pub(crate) suspect_reports: Notify,
+    /// Wakes the task that writes evidence on suspects to the store.
+    pub(crate) suspect_writes: Notify,
     state: Mutex<GatewayState>,
     /// Idle connections to backend servers.
     pool: Mutex<ConnectionPool>,
@@ -147,8 +147,8 @@
                 members: BTreeMap::new(),
                 planner_is_free: false,
                 peer_loads: PeerLoads::default(),
-                suspects: SuspectRegistry::with_crash_limit(CRASH_LIMIT),
-                own_crashes: VecDeque::new(),
+                suspects: SuspectRegistry::new(SuspectLimits::SHARING),
+                suspect_news: SuspectNews::default(),
                 retry_limits: retry_limits(&settings),
                 grace: settings.grace_period(),
                 draining_since: None,
@@ -156,6 +156,8 @@
                 store_is_down: false,
                 last_store_failure: None,
             }),
+            suspect_reports: Notify::new(),
+            suspect_writes: Notify::new(),
             pool: Mutex::new(ConnectionPool::default()),
             settings,
         }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -35,6 +35,11 @@
     replace_members, //
 };
 use crate::shared::GatewayShared;
+use crate::suspect_record::SUSPECT_PREFIX;
+use crate::suspect_store::{
+    apply_suspect_change,
+    replace_suspects, //
+};
 
 /// Maximum wait of one watch request. A short outage of the store can leave a request hanging for
 /// this long, and a change accepted during the outage must be in effect two seconds after the
@@ -68,6 +73,11 @@
 /// Loads all keys and returns the revision from which to watch. This is the revision of the first
 /// read, so that the watch returns every change made between the reads.
 async fn load_all(shared: &GatewayShared) -> Result<u64, PlatformError> {
+    // Without the suspects, a new gateway would run a request that others refuse; it serves none
+    // before it has a configuration.
+    let members = track_store_call(shared, shared.store.range(GATEWAY_PREFIX)).await?;
+    replace_members(shared, &members.items);
+    replace_suspects(shared, &members.items);
     let config = track_store_call(shared, shared.store.range(CONFIG_KEY)).await?;
     config
         .items
@@ -75,9 +85,7 @@
         .for_each(|item| apply_config(shared, item));
     let backends = track_store_call(shared, shared.store.range(BACKEND_PREFIX)).await?;
     replace_backends(shared, &backends.items);
-    let members = track_store_call(shared, shared.store.range(GATEWAY_PREFIX)).await?;
-    replace_members(shared, &members.items);
-    Ok(config.revision)
+    Ok(members.revision)
 }
 
 /// Waits for changes after a revision, applies them and returns the revision from which to continue.
@@ -98,6 +106,8 @@
     let key = change.key();
     if key.starts_with(BACKEND_PREFIX) {
         apply_backend_change(shared, change);
+    } else if key.starts_with(SUSPECT_PREFIX) {
+        apply_suspect_change(shared, &change);
     } else if key.starts_with(GATEWAY_PREFIX) {
         apply_member_change(shared, &change);
     } else if let KeyChange::Written(item) = &change {
--- /dev/null
+++ b/crates/gateway/src/suspect_news.rs
@@ -0,0 +1,101 @@
+//! Evidence on crash suspects that has yet to reach the peers and the store.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use units::FingerprintId;
+
+/// Number of load reports that carry the same evidence, since datagrams get lost.
+const REPORT_REPEATS: u32 = 3;
+/// Maximum number of suspects in one load report.
+const MAX_REPORTED_SUSPECTS: usize = 32;
+/// Maximum number of suspects that wait to be reported. The store tells peers about the others.
+const MAX_WAITING_SUSPECTS: usize = 512;
+
+/// Suspects whose evidence has changed, and what is known of their records in the store.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectNews {
+    /// Remaining reports to the peers.
+    unreported: BTreeMap<FingerprintId, u32>,
+    /// Suspects whose records in the store lack evidence.
+    unwritten: BTreeSet<FingerprintId>,
+    /// Revisions of the records in the store.
+    revisions: BTreeMap<FingerprintId, u64>,
+}
+
+impl SuspectNews {
+    /// Queues a suspect for the peers. `is_repeated` is false for evidence that a single report may
+    /// carry, since the store has it too.
+    pub(crate) fn report(&mut self, fingerprint: FingerprintId, is_repeated: bool) {
+        if self.unreported.len() < MAX_WAITING_SUSPECTS || is_repeated {
+            let repeats = if is_repeated { REPORT_REPEATS } else { 1 };
+            self.unreported.insert(fingerprint, repeats);
+        }
+    }
+
+    /// Queues a suspect for the store.
+    pub(crate) fn write(&mut self, fingerprint: FingerprintId) {
+        self.unwritten.insert(fingerprint);
+    }
+
+    /// Returns whether evidence waits for the store.
+    pub(crate) fn has_unwritten(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
+    /// Takes the suspects for the next load report, those with the most crashes first.
+    pub(crate) fn take_reported(
+        &mut self,
+        crash_count: impl Fn(FingerprintId) -> usize,
+    ) -> Vec<FingerprintId> {
+        let mut waiting: Vec<FingerprintId> = self.unreported.keys().copied().collect();
+        waiting.sort_by_key(|fingerprint| std::cmp::Reverse(crash_count(*fingerprint)));
+        waiting.truncate(MAX_REPORTED_SUSPECTS);
+        for fingerprint in &waiting {
+            if let Some(remaining) = self.unreported.get_mut(fingerprint) {
+                *remaining -= 1;
+            }
+        }
+        self.unreported.retain(|_, remaining| *remaining > 0);
+        waiting
+    }
+
+    /// Takes up to `limit` suspects for the next write to the store, those with the most crashes
+    /// first.
+    pub(crate) fn take_unwritten(
+        &mut self,
+        limit: usize,
+        crash_count: impl Fn(FingerprintId) -> usize,
+    ) -> Vec<FingerprintId> {
+        let mut waiting: Vec<FingerprintId> = self.unwritten.iter().copied().collect();
+        waiting.sort_by_key(|fingerprint| std::cmp::Reverse(crash_count(*fingerprint)));
+        waiting.truncate(limit);
+        for fingerprint in &waiting {
+            self.unwritten.remove(fingerprint);
+        }
+        waiting
+    }
+
+    /// Returns the revision of a suspect's record in the store, or 0 if it has none.
+    pub(crate) fn revision(&self, fingerprint: FingerprintId) -> u64 {
+        self.revisions.get(&fingerprint).copied().unwrap_or(0)
+    }
+
+    /// Records the revision of a suspect's record in the store.
+    pub(crate) fn set_revision(&mut self, fingerprint: FingerprintId, revision: u64) {
+        let known = self.revisions.entry(fingerprint).or_default();
+        *known = revision.max(*known);
+    }
+
+    /// Records that the store has no record of a suspect.
+    pub(crate) fn clear_revision(&mut self, fingerprint: FingerprintId) {
+        self.revisions.remove(&fingerprint);
+    }
+
+    /// Returns the suspects that have records in the store.
+    pub(crate) fn recorded(&self) -> Vec<FingerprintId> {
+        self.revisions.keys().copied().collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/suspect_store.rs
@@ -0,0 +1,263 @@
+//! Writes evidence on crash suspects to the platform's store, and reads that of the other gateways.
+//!
+//! No request waits for the store: it refuses or serves by what is known.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use platform::{
+    KeyChange,
+    KeyPrecondition,
+    KeyPut,
+    KeyValue,
+    PlatformError,
+    WriteOutcome, //
+};
+use policy::member_turn;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout, //
+};
+use units::FingerprintId;
+
+use crate::crash_suspects::log_merged;
+use crate::shared::GatewayShared;
+use crate::store_watch::track_store_call;
+use crate::suspect_record::{
+    ClockReading,
+    SUSPECT_PREFIX,
+    parse_record,
+    parse_suspect_key,
+    suspect_key,
+    to_record, //
+};
+
+/// Maximum number of records in one transaction. Each takes a precondition and a write of the 32
+/// entries that the store allows.
+const MAX_RECORDS: usize = 16;
+/// Time between two transactions of one gateway.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay after a failed store call.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Interval between removals of records without effect.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Writes evidence as it is found and removes records without effect, until aborted.
+pub(crate) async fn write_suspects(shared: Arc<GatewayShared>) {
+    let mut cleaned_at = Instant::now();
+    loop {
+        // Evidence may have been queued while a write was under way.
+        if !shared.lock().suspect_news.has_unwritten() {
+            let _ = timeout(CLEANUP_INTERVAL, shared.suspect_writes.notified()).await;
+        }
+        let mut result = write_batch(&shared).await;
+        if result.is_ok() && cleaned_at.elapsed() >= CLEANUP_INTERVAL {
+            cleaned_at = Instant::now();
+            result = remove_expired(&shared).await;
+        }
+        sleep(if result.is_ok() {
+            WRITE_INTERVAL
+        } else {
+            RETRY_DELAY
+        })
+        .await;
+    }
+}
+
+/// Records to be written in one transaction.
+struct RecordBatch {
+    fingerprints: Vec<FingerprintId>,
+    preconditions: Vec<KeyPrecondition>,
+    puts: Vec<KeyPut>,
+}
+
+/// Takes the suspects whose records lack evidence, as many as one transaction holds.
+fn take_batch(shared: &GatewayShared) -> RecordBatch {
+    let clock = ClockReading::take();
+    let mut guard = shared.lock();
+    let state = &mut *guard;
+    let suspects = &state.suspects;
+    let count = |fingerprint| suspects.crash_count(fingerprint);
+    let fingerprints = state.suspect_news.take_unwritten(MAX_RECORDS, count);
+    let (mut preconditions, mut puts) = (Vec::new(), Vec::new());
+    for fingerprint in &fingerprints {
+        let Some(evidence) = suspects.evidence(*fingerprint) else {
+            continue;
+        };
+        let key = suspect_key(*fingerprint);
+        let revision = state.suspect_news.revision(*fingerprint);
+        preconditions.push(KeyPrecondition {
+            key: key.clone(),
+            revision,
+        });
+        puts.push(KeyPut {
+            key,
+            value: Bytes::from(to_record(clock, &evidence)),
+            lease: None,
+        });
+    }
+    RecordBatch {
+        fingerprints,
+        preconditions,
+        puts,
+    }
+}
+
+/// Writes the records of some suspects.
+async fn write_batch(shared: &GatewayShared) -> Result<(), PlatformError> {
+    let batch = take_batch(shared);
+    if batch.puts.is_empty() {
+        return Ok(());
+    }
+    let write = shared
+        .store
+        .write(batch.preconditions, batch.puts, Vec::new());
+    let outcome = track_store_call(shared, write).await;
+    if let Ok(WriteOutcome::Committed(revision)) = outcome {
+        let mut state = shared.lock();
+        for fingerprint in batch.fingerprints {
+            state.suspect_news.set_revision(fingerprint, revision);
+        }
+        return Ok(());
+    }
+    // The response may also have been lost after the write took effect.
+    for fingerprint in &batch.fingerprints {
+        shared.lock().suspect_news.write(*fingerprint);
+    }
+    log_unwritten(shared, batch.fingerprints.len(), &outcome);
+    outcome?;
+    reload_suspects(shared).await
+}
+
+fn log_unwritten(
+    shared: &GatewayShared,
+    count: usize,
+    outcome: &Result<WriteOutcome, PlatformError>,
+) {
+    let reason = "evidence on crash suspects not written; it is written again";
+    let cause = match outcome {
+        Ok(_) => "another gateway has written a record".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    let record = DecisionRecord::new(DecisionKind::Suspect, reason);
+    let record = record.input("suspects", count).input("cause", cause);
+    shared.log.write(record);
+}
+
+/// Reads all records again after a conflict.
+async fn reload_suspects(shared: &GatewayShared) -> Result<(), PlatformError> {
+    let range = track_store_call(shared, shared.store.range(SUSPECT_PREFIX)).await?;
+    replace_suspects(shared, &range.items);
+    Ok(())
+}
+
+/// Merges all records in the store. Records that are known and gone have expired.
+pub(crate) fn replace_suspects(shared: &GatewayShared, items: &[KeyValue]) {
+    let listed = items.iter().filter_map(|item| parse_suspect_key(&item.key));
+    let listed: std::collections::BTreeSet<FingerprintId> = listed.collect();
+    let recorded = shared.lock().suspect_news.recorded();
+    for fingerprint in recorded.into_iter().filter(|f| !listed.contains(f)) {
+        forget_record(shared, fingerprint);
+    }
+    items.iter().for_each(|item| merge_record(shared, item));
+}
+
+/// Applies a change of a record by any gateway.
+pub(crate) fn apply_suspect_change(shared: &GatewayShared, change: &KeyChange) {
+    match change {
+        KeyChange::Written(item) => merge_record(shared, item),
+        KeyChange::Removed(key) => {
+            if let Some(fingerprint) = parse_suspect_key(key) {
+                forget_record(shared, fingerprint);
+            }
+        }
+    }
+}
+
+/// Writes a record again that was removed although its evidence still has an effect here.
+fn forget_record(shared: &GatewayShared, fingerprint: FingerprintId) {
+    let mut state = shared.lock();
+    state.suspect_news.clear_revision(fingerprint);
+    if state.suspects.is_expired(Instant::now(), fingerprint) {
+        state.suspects.remove(fingerprint);
+    } else {
+        state.suspect_news.write(fingerprint);
+        shared.suspect_writes.notify_one();
+    }
+}
+
+fn merge_record(shared: &GatewayShared, item: &KeyValue) {
+    let Some(fingerprint) = parse_suspect_key(&item.key) else {
+        return;
+    };
+    let evidence = match parse_record(ClockReading::take(), fingerprint, &item.value) {
+        Ok(evidence) => evidence,
+        Err(error) => {
+            let reason = "record of a crash suspect cannot be read; remove its key from the store";
+            let record = DecisionRecord::new(DecisionKind::Suspect, reason);
+            let record = record.input("key", item.key.as_str());
+            let record = record.input("error", error.to_string()).failure();
+            return shared.log.write(record);
+        }
+    };
+    let now = Instant::now();
+    let mut guard = shared.lock();
+    let state = &mut *guard;
+    state.suspect_news.set_revision(fingerprint, item.revision);
+    let is_new = state.suspects.merge(now, &evidence);
+    let count = state.suspects.crash_count(fingerprint);
+    if state.suspects.adds_to(&evidence) {
+        state.suspect_news.write(fingerprint);
+        shared.suspect_writes.notify_one();
+    }
+    drop(guard);
+    if is_new {
+        log_merged(shared, &evidence, "store", &item.key, count);
+    }
+}
+
+/// Removes records without effect. One gateway does so for each record.
+async fn remove_expired(shared: &GatewayShared) -> Result<(), PlatformError> {
+    let preconditions = take_expired(shared);
+    if preconditions.is_empty() {
+        return Ok(());
+    }
+    let keys = preconditions
+        .iter()
+        .map(|precondition| precondition.key.clone());
+    let keys = keys.collect();
+    let write = shared.store.write(preconditions, Vec::new(), keys);
+    match track_store_call(shared, write).await? {
+        WriteOutcome::Committed(_) => Ok(()),
+        WriteOutcome::Conflict | WriteOutcome::LeaseEnded => reload_suspects(shared).await,
+    }
+}
+
+/// Forgets suspects without a record in the store, and returns the records that this gateway removes.
+fn take_expired(shared: &GatewayShared) -> Vec<KeyPrecondition> {
+    let own_instance = &shared.settings.instance;
+    let mut guard = shared.lock();
+    let state = &mut *guard;
+    let mut removals = Vec::new();
+    for fingerprint in state.suspects.expired(Instant::now()) {
+        let revision = state.suspect_news.revision(fingerprint);
+        if revision == 0 {
+            state.suspects.remove(fingerprint);
+            continue;
+        }
+        let turn = member_turn(&fingerprint.to_string(), own_instance, state.members.keys());
+        if turn == 0 && removals.len() < MAX_RECORDS {
+            removals.push(KeyPrecondition {
+                key: suspect_key(fingerprint),
+                revision,
+            });
+        }
+    }
+    removals
+}
--- a/crates/measure/src/simulation.rs
+++ b/crates/measure/src/simulation.rs
@@ -9,6 +9,7 @@
     EngineRouter,
     RolePlanner,
     SideScheduler,
+    SuspectLimits,
     SuspectRegistry, //
 };
 use rand::{
@@ -166,7 +167,7 @@
             jobs,
             routers: (0..site.entry_count).map(router).collect(),
             planner: RolePlanner::new(),
-            suspects: SuspectRegistry::default(),
+            suspects: SuspectRegistry::new(SuspectLimits::ISOLATING),
             crash_count: 0,
             // Independent of the generator of the workload, which has the plain seed.
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
--- a/crates/measure/src/simulation_faults.rs
+++ b/crates/measure/src/simulation_faults.rs
@@ -5,6 +5,7 @@
 use policy::{
     CrashId,
     EngineObservation,
+    ServerCrash,
     SuspectVerdict, //
 };
 use rand::RngExt;
@@ -47,7 +48,7 @@
     pub(crate) fn finish_job(&mut self, job: usize, outcome: JobOutcome) {
         if outcome == JobOutcome::Completed && self.jobs[job].exclusive {
             let fingerprint = self.fingerprint(job);
-            self.suspects.clear(fingerprint);
+            self.suspects.record_completed(self.now, fingerprint);
         }
         self.jobs[job].outcome = outcome;
         self.jobs[job].ended_at = Some(self.now);
@@ -89,8 +90,9 @@
         let on_engine = self.jobs_on(engine);
         let fingerprints: Vec<FingerprintId> =
             on_engine.iter().map(|job| self.fingerprint(*job)).collect();
-        self.suspects
-            .record_crash(self.now, CrashId(self.crash_count), &fingerprints);
+        let server = self.engines[engine].instance.clone();
+        let crash = ServerCrash::confirmed(CrashId(self.crash_count), server, self.now);
+        self.suspects.record_crash(self.now, crash, &fingerprints);
     }
 
     /// Returns the fingerprint of a request, which a poison request shares with its retries.
@@ -109,12 +111,18 @@
         if !self.policy.rank_scheduling {
             return self.jobs[job].attempts <= MAX_START_ATTEMPTS;
         }
-        match self.suspects.verdict(self.now, self.fingerprint(job)) {
+        let fingerprint = self.fingerprint(job);
+        match self.suspects.verdict(self.now, fingerprint, 0) {
             SuspectVerdict::Unrestricted => true,
             SuspectVerdict::Isolated => {
                 self.jobs[job].exclusive = true;
                 true
             }
+            SuspectVerdict::Trial => {
+                self.suspects.record_trial(self.now, fingerprint);
+                self.jobs[job].exclusive = true;
+                true
+            }
             SuspectVerdict::Quarantined(_) => false,
         }
     }
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -18,6 +18,20 @@
     XxHash3_64::oneshot(text.as_bytes())
 }
 
+/// Returns the number of members that precede `own` in the order of their rendezvous weights for
+/// `key`.
+pub fn member_turn<'a>(
+    key: &str,
+    own: &InstanceId,
+    members: impl IntoIterator<Item = &'a InstanceId>,
+) -> u32 {
+    let weight = |member: &InstanceId| XxHash3_64::oneshot(format!("{key}|{member}").as_bytes());
+    let own_weight = weight(own);
+    let members = members.into_iter();
+    let before = members.filter(|member| weight(member) > own_weight);
+    before.count() as u32
+}
+
 /// Returns up to `limit` members with the highest weight for `key`, by rendezvous hashing.
 ///
 /// The key is the process that selects its peers, or the name of a task that few members carry out.
--- /dev/null
+++ b/crates/policy/src/suspect/evidence.rs
@@ -0,0 +1,35 @@
+//! Everything known about one suspect, as processes share it.
+
+use tokio::time::Instant;
+use units::FingerprintId;
+
+use super::crash::ServerCrash;
+
+/// Evidence for and against one request. Merging is idempotent and independent of the order, so that
+/// it may be repeated, relayed and written to a store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SuspectEvidence {
+    /// Fingerprint of the request.
+    pub fingerprint: FingerprintId,
+    /// Crashes of backend servers on which the request was running.
+    pub crashes: Vec<ServerCrash>,
+    /// Time at which a backend server completed the request, which shows that it crashes none.
+    pub completed_at: Option<Instant>,
+    /// Number of runs that were allowed after the crash limit was reached.
+    pub trials: u32,
+    /// Time of the latest of these runs.
+    pub trial_at: Option<Instant>,
+}
+
+impl SuspectEvidence {
+    /// Creates evidence without any observation.
+    pub fn new(fingerprint: FingerprintId) -> Self {
+        Self {
+            fingerprint,
+            crashes: Vec::new(),
+            completed_at: None,
+            trials: 0,
+            trial_at: None,
+        }
+    }
+}
--- a/crates/policy/tests/learning.rs
+++ b/crates/policy/tests/learning.rs
@@ -8,18 +8,14 @@
 use policy::{
     BackendLoad,
     CallKind,
-    CrashId,
     DecodeSpeed,
     OfferedRate,
     PeerLoads,
     PrefillSpeed,
-    SuspectRegistry,
-    SuspectVerdict,
     accepts_while_draining, //
 };
 use tokio::time::Instant;
 use units::{
-    FingerprintId,
     IncarnationId, //
 };
 
@@ -145,22 +141,6 @@
     assert_eq!(peers.load_at(7, 1), BackendLoad::NONE);
 }
 
-/// A caller may retry a request that crashes engines on several gateways, so that crashes reported
-/// by peers must count towards its quarantine.
-#[test]
-fn record_crash_from_several_gateways() {
-    let now = Instant::now();
-    let mut registry = SuspectRegistry::with_crash_limit(3);
-    let request = FingerprintId(0xbad);
-    for crash in [1, 1, 2] {
-        registry.record_crash(now, CrashId(crash), &[request]);
-    }
-    assert_eq!(registry.verdict(now, request), SuspectVerdict::Isolated);
-    registry.record_crash(now, CrashId(3), &[request]);
-    let verdict = registry.verdict(now, request);
-    assert!(matches!(verdict, SuspectVerdict::Quarantined(_)));
-}
-
 #[test]
 fn accepts_while_draining_requests_that_finish_in_time() {
     let grace = Duration::from_secs(8);
--- a/crates/side/src/crash.rs
+++ b/crates/side/src/crash.rs
@@ -10,10 +10,14 @@
     CrashId,
     JobKey,
     RefusalReason,
+    ServerCrash,
     SuspectVerdict, //
 };
 use tokio::time::Instant;
-use units::FingerprintId;
+use units::{
+    FingerprintId,
+    InstanceId, //
+};
 use wire::{
     CrashNotice,
     FrameKind, //
@@ -44,7 +48,11 @@
         }
         let crash = CrashId(self.identity.incarnation.0 ^ state.crash_count.rotate_left(32));
         let fingerprint = job.fingerprint();
-        state.suspects.record_crash(now, crash, &[fingerprint]);
+        let server = self.identity.instance.clone();
+        let server_crash = ServerCrash::confirmed(crash, server, now);
+        state
+            .suspects
+            .record_crash(now, server_crash, &[fingerprint]);
         self.metrics.crashes.inc();
         let notice = CrashNotice {
             crash: crash.0,
@@ -69,7 +77,7 @@
     pub(crate) fn refuse_quarantined_jobs(&self, state: &mut SideState) {
         let now = Instant::now();
         let is_quarantined = |job: &SideJob| {
-            let verdict = state.suspects.verdict(now, job.fingerprint());
+            let verdict = state.suspects.verdict(now, job.fingerprint(), 0);
             job.task.is_none() && matches!(verdict, SuspectVerdict::Quarantined(_))
         };
         let jobs = state.jobs.iter().filter(|(_, job)| is_quarantined(job));
@@ -84,16 +92,18 @@
     /// Records a crash notice from an entry, and forwards the notice to the other entries the first
     /// time it arrives.
     pub(crate) fn relay_crash_notice(&self, sender_link_id: u64, notice: CrashNotice) {
+        let Ok(server) = notice.instance.parse::<InstanceId>() else {
+            return;
+        };
+        let now = Instant::now();
+        let crash = ServerCrash::confirmed(CrashId(notice.crash), server, now);
         let mut state = self.lock();
         let fingerprints: Vec<FingerprintId> = notice
             .fingerprints
             .iter()
             .map(|fingerprint| FingerprintId(*fingerprint))
             .collect();
-        if !state
-            .suspects
-            .record_crash(Instant::now(), CrashId(notice.crash), &fingerprints)
-        {
+        if !state.suspects.record_crash(now, crash, &fingerprints) {
             return;
         }
         for (link_id, link) in &state.links {
--- a/crates/side/src/state.rs
+++ b/crates/side/src/state.rs
@@ -22,6 +22,7 @@
     RankMap,
     SharedSecret,
     SideScheduler,
+    SuspectLimits,
     SuspectRegistry,
     TicketRegistry, //
 };
@@ -127,7 +128,7 @@
             ticket_registry,
             call_waiters: BTreeMap::new(),
             latest_config: LatestConfig::default(),
-            suspects: SuspectRegistry::default(),
+            suspects: SuspectRegistry::new(SuspectLimits::ISOLATING),
             crash_count: 0,
             last_crash: None,
             engine_up: false,
--- a/crates/wire/src/messages/gateway_load.rs
+++ b/crates/wire/src/messages/gateway_load.rs
@@ -18,16 +18,59 @@
     pub memory_tokens: u32,
 }
 
-/// Request that was running on a backend server when it crashed.
+/// Presumed crash of a backend server.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
-pub struct CrashSuspect {
+pub struct CrashReport {
+    /// Id of the crash.
+    #[prost(fixed64, tag = "1")]
+    pub crash: u64,
+    /// Instance id of the backend server.
+    #[prost(string, tag = "2")]
+    pub server: String,
+    /// Incarnation of the backend server, if it publishes one.
+    #[prost(fixed64, optional, tag = "3")]
+    pub incarnation: Option<u64>,
+    /// Time since the crash in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+    /// What is known about the process since.
+    #[prost(enumeration = "CrashStateCode", tag = "5")]
+    pub state: i32,
+}
+
+/// What is known about the process of a presumed crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(prost::Enumeration)]
+#[repr(i32)]
+pub enum CrashStateCode {
+    /// The process has not been observed since.
+    Presumed = 0,
+    /// The process is gone.
+    Confirmed = 1,
+    /// The process has answered since.
+    Outlived = 2,
+}
+
+/// Evidence for and against a request that may crash backend servers.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct SuspectReport {
     /// Fingerprint of the request.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
-    /// Id of the crash.
-    #[prost(fixed64, tag = "2")]
-    pub crash: u64,
+    /// Crashes of backend servers on which the request was running.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: Vec<CrashReport>,
+    /// Time since a backend server completed the request, in milliseconds.
+    #[prost(uint64, optional, tag = "3")]
+    pub completed_age_ms: Option<u64>,
+    /// Number of runs allowed after the crash limit was reached.
+    #[prost(uint32, tag = "4")]
+    pub trials: u32,
+    /// Time since the latest of these runs, in milliseconds.
+    #[prost(uint64, optional, tag = "5")]
+    pub trial_age_ms: Option<u64>,
 }
 
 /// Load of one gateway on all backend servers, sent as one datagram.
@@ -46,7 +89,7 @@
     /// Load on each backend server that has in-flight requests of the gateway.
     #[prost(message, repeated, tag = "4")]
     pub loads: Vec<ServerLoad>,
-    /// Requests that were running during recent crashes.
-    #[prost(message, repeated, tag = "5")]
-    pub crashes: Vec<CrashSuspect>,
+    /// Latest evidence on requests that may crash backend servers. Tag 5 held an earlier form.
+    #[prost(message, repeated, tag = "6")]
+    pub suspects: Vec<SuspectReport>,
 }
