gateway, web: every way in which a server ends leaves evidence

Cause: a crash was recorded only where the connection broke before the head. Each success status cleared the request as soon as its head came, so that a prefill, which runs nothing, cleared it before each run.

Change: a body or stream that breaks off, a server that falls silent, also if the deadline passes or the caller leaves first (the guard of the in-flight load sees it), and the end of an unframed body, which cannot be told from the end of the server, are evidence. Only a complete run clears: a signed success whose framed body was read to its end; a prefill does not. A malformed response is no evidence, since its server was alive to send it.

Ruled out: clearing at the first event of a stream (crashes_within_stream ends after it).

--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -157,8 +157,12 @@
     shared.log.write(record);
 }
 
-/// Clears a request of suspicion after a successful response.
-pub(crate) fn record_completed(context: &RequestContext) {
+/// Clears a request of suspicion after a complete run. The end of an unframed body does not show that
+/// the server lives.
+pub(crate) fn record_completed(context: &RequestContext, is_framed: bool) {
+    if !is_framed {
+        return;
+    }
     let fingerprint = context.fingerprint;
     let mut guard = context.shared.lock();
     let state = &mut *guard;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,9 +23,14 @@
     AbortedResponse,
     ResponseBody,
     ResponseChunk,
-    abortable_body, //
+    abortable_body,
+    is_malformed, //
 };
 
+use crate::crash_suspects::{
+    record_completed,
+    record_crash, //
+};
 use crate::generation::{
     OpenStream,
     open_stream, //
@@ -136,6 +141,9 @@
             AttemptEnd::Failed(reason) => reason,
         };
         record_broken_connection(&context, &instance);
+        if let Some(cause) = crash_cause(reason) {
+            record_crash(&context.shared, &context.witness(), &instance, cause);
+        }
         if !context.may_retry(&history) {
             log_end(&context, &timing, reason, true);
             break;
@@ -159,6 +167,15 @@
     let _ = chunks.send(Err(AbortedResponse)).await;
 }
 
+/// Returns why a failed attempt may be due to a crash of the engine, if it may.
+fn crash_cause(reason: &str) -> Option<&'static str> {
+    match reason {
+        "silent" => Some("backend server does not respond on any connection"),
+        "stream_cut" | "ended_mid_event" => Some("connection broke within a stream"),
+        _ => None,
+    }
+}
+
 fn record_broken_connection(context: &RequestContext, instance: &InstanceId) {
     let mut state = context.shared.lock();
     state
@@ -238,9 +255,17 @@
             None if cursor.is_mid_event() => return AttemptEnd::Failed("ended_mid_event"),
             None => {
                 record_decode_speed(context, &instance, started);
+                record_completed(context, response.metadata.is_framed);
+                if !response.metadata.is_framed {
+                    let cause = "connection ended with a stream of unknown length";
+                    record_crash(&context.shared, &context.witness(), &instance, cause);
+                }
                 release_connection(&context.shared, response.connection, &response.metadata);
                 return AttemptEnd::Complete;
             }
+            Some(Err(error)) if is_malformed(&error) => {
+                return AttemptEnd::Failed("malformed_response");
+            }
             Some(Err(_)) => return AttemptEnd::Failed("stream_cut"),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -284,12 +284,12 @@
         .fleet
         .get(instance)
         .map_or(0, |view| view.total_load().prefill_backlog.total_tokens());
-    let in_flight = InFlightGuard::new(&context.shared, instance, load);
+    let in_flight = InFlightGuard::new(context, instance, load);
     let mut metadata = context.attempt_metadata(instance, engine.position);
     metadata.prefill_only = true;
     let started = Instant::now();
     let response = start_attempt(context, engine.address, &metadata).await?;
-    let response = read_response(context, response).await?;
+    let response = read_response(context, instance, response).await?;
     drop(in_flight);
     let elapsed = started.elapsed();
     let latencies = &context.shared.metrics.latencies;
@@ -335,7 +335,7 @@
         kv_cache_tokens: u64::from(context.metadata.prompt_layout.tokens())
             + u64::from(output_tokens),
     };
-    let in_flight = InFlightGuard::new(&context.shared, instance, load);
+    let in_flight = InFlightGuard::new(context, instance, load);
     let mut metadata = context.attempt_metadata(instance, engine.position);
     metadata.resume_after_event = resume_after;
     if let Some(kv_cache) = kv_cache.as_mut() {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -9,27 +9,31 @@
 use tokio::time::Instant;
 use units::InstanceId;
 
+use crate::crash_suspects::{
+    CrashWitness,
+    record_crash, //
+};
+use crate::request::RequestContext;
 use crate::shared::GatewayShared;
 
 /// Load of an in-flight request, counted on its backend server until the guard is dropped.
 pub(crate) struct InFlightGuard {
     shared: Arc<GatewayShared>,
+    witness: CrashWitness,
     instance: InstanceId,
     load: BackendLoad,
 }
 
 impl InFlightGuard {
     /// Adds the load of a request to a backend server.
-    pub(crate) fn new(
-        shared: &Arc<GatewayShared>,
-        instance: &InstanceId,
-        load: BackendLoad,
-    ) -> Self {
+    pub(crate) fn new(context: &RequestContext, instance: &InstanceId, load: BackendLoad) -> Self {
+        let shared = &context.shared;
         if let Some(view) = shared.lock().fleet.get_mut(instance) {
             view.record_send(Instant::now(), load);
         }
         Self {
             shared: shared.clone(),
+            witness: context.witness(),
             instance: instance.clone(),
             load,
         }
@@ -54,6 +58,12 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        // A server that has fallen silent may have crashed, also if the caller or the deadline ended
+        // the wait before the connection broke.
+        if self.shared.is_unresponsive(&self.instance) {
+            let cause = "backend server does not respond on any connection";
+            record_crash(&self.shared, &self.witness, &self.instance, cause);
+        }
         self.subtract_load(self.load);
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -21,6 +21,7 @@
     AttemptError,
     CompleteResponse, //
 };
+use crate::crash_suspects::record_completed;
 use crate::in_flight::InFlightGuard;
 use crate::latency::ServerStage;
 use crate::request::{
@@ -48,11 +49,11 @@
             requests: 1,
             ..BackendLoad::default()
         };
-        let in_flight = InFlightGuard::new(&context.shared, &instance, load);
+        let in_flight = InFlightGuard::new(context, &instance, load);
         let started = Instant::now();
         let metadata = context.attempt_metadata(&instance, context.urgency().position());
         let result = match start_attempt(context, address, &metadata).await {
-            Ok(response) => read_response(context, response).await,
+            Ok(response) => read_response(context, &instance, response).await,
             Err(error) => Err(error),
         };
         drop(in_flight);
@@ -73,6 +74,9 @@
                 let latencies = &context.shared.metrics.latencies;
                 latencies.observe_stage(ServerStage::Plain, &instance, elapsed);
                 latencies.observe_answer(&context.rule, context.started.elapsed());
+                if response.http.status().is_success() && response.metadata.is_signed {
+                    record_completed(context, response.metadata.is_framed);
+                }
                 log_response(context, &instance, &response);
                 return into_caller_response(response);
             }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -28,7 +28,9 @@
 use units::InstanceId;
 use web::{
     ClientConnection,
-    SendFailure, //
+    SendFailure,
+    WebError,
+    read_body, //
 };
 
 use crate::attempt::{
@@ -36,10 +38,7 @@
     CompleteResponse,
     OpenResponse, //
 };
-use crate::crash_suspects::{
-    record_completed,
-    record_crash, //
-};
+use crate::crash_suspects::record_crash;
 use crate::request::RequestContext;
 use crate::shared::GatewayShared;
 
@@ -50,6 +49,8 @@
 /// Margin by which a pooled connection expires before the idle timeout that the backend server
 /// states.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Reason of an attempt whose connection broke before the head of the response.
+const CONNECTION_BROKE: &str = "connection_broke";
 /// Size limit of a response body that is read completely.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -68,18 +69,14 @@
     if result.is_ok() {
         context.shared.record_liveness(&metadata.instance);
     }
-    match &result {
-        Err(AttemptError::Unsure("connection_broke")) => {
-            let cause = "connection broke before a response";
-            record_crash(
-                &context.shared,
-                &context.witness(),
-                &metadata.instance,
-                cause,
-            );
-        }
-        Ok(response) if response.http.status().is_success() => record_completed(context),
-        _ => {}
+    if matches!(result, Err(AttemptError::Unsure(CONNECTION_BROKE))) {
+        let cause = "connection broke before a response";
+        record_crash(
+            &context.shared,
+            &context.witness(),
+            &metadata.instance,
+            cause,
+        );
     }
     record_attempt(context, &metadata.instance, &result);
     result
@@ -147,7 +144,10 @@
             // state of the backend server.
             Err(SendFailure::Unsent(_)) if connection.is_reused => {}
             Err(SendFailure::Unsent(_)) => return Err(AttemptError::Unreachable),
-            Err(SendFailure::MaybeSent(_)) => return Err(AttemptError::Unsure("connection_broke")),
+            Err(SendFailure::MaybeSent(error)) if error.is_malformed() => {
+                return Err(AttemptError::Unsure("malformed_response"));
+            }
+            Err(SendFailure::MaybeSent(_)) => return Err(AttemptError::Unsure(CONNECTION_BROKE)),
         }
     }
 }
@@ -242,15 +242,27 @@
 /// Reads a response completely.
 pub(crate) async fn read_response(
     context: &RequestContext,
+    instance: &InstanceId,
     response: OpenResponse,
 ) -> Result<CompleteResponse, AttemptError> {
     let (head, body) = response.http.into_parts();
-    let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-    let bytes = match timeout_at(context.deadline, reading).await {
-        Err(_) => return Err(AttemptError::DeadlineExceeded),
-        Ok(Err(_)) => return Err(AttemptError::Unsure("answer_cut")),
-        Ok(Ok(bytes)) => bytes.to_bytes(),
+    let time_left = context.time_left();
+    let bytes = match read_body(body, MAX_RESPONSE_BYTES, time_left).await {
+        Err(WebError::Timeout) => return Err(AttemptError::DeadlineExceeded),
+        Err(error) if error.is_malformed() => {
+            return Err(AttemptError::Unsure("malformed_response"));
+        }
+        Err(_) => {
+            let cause = "connection broke within a response body";
+            record_crash(&context.shared, &context.witness(), instance, cause);
+            return Err(AttemptError::Unsure("answer_cut"));
+        }
+        Ok(bytes) => bytes,
     };
+    if !response.metadata.is_framed {
+        let cause = "connection ended with a response body of unknown length";
+        record_crash(&context.shared, &context.witness(), instance, cause);
+    }
     release_connection(&context.shared, response.connection, &response.metadata);
     Ok(CompleteResponse {
         http: Response::from_parts(head, bytes),
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -40,7 +40,32 @@
     },
 }
 
+/// Returns whether an exchange failed because the peer sent bytes that are no response in the protocol,
+/// as opposed to a connection that broke.
+pub fn is_malformed(error: &hyper::Error) -> bool {
+    use std::error::Error;
+    use std::io::ErrorKind;
+    let io_error = error
+        .source()
+        .and_then(|e| e.downcast_ref::<std::io::Error>());
+    let io_kind = io_error.map(std::io::Error::kind);
+    error.is_parse()
+        || matches!(
+            io_kind,
+            Some(ErrorKind::InvalidData | ErrorKind::InvalidInput)
+        )
+}
+
 impl WebError {
+    /// Returns whether the server sent bytes that are no response in the protocol.
+    pub fn is_malformed(&self) -> bool {
+        match self {
+            Self::Exchange { source } => is_malformed(source),
+            Self::TooLarge { .. } => true,
+            _ => false,
+        }
+    }
+
     /// Returns whether it is certain that nothing was sent.
     pub fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::Build { .. })
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -25,6 +25,7 @@
 pub use connection::ConnectionPool;
 pub use connection::SendFailure;
 pub use error::WebError;
+pub use error::is_malformed;
 pub use limits::ConnectionLimits;
 pub use limits::ServerLimits;
 pub use listen::listen;
