gateway: unwritten evidence does not count as an outage of the store

Cause: after a failed store call, entries that vanish are kept 1.8 s for their return. The writes of evidence failed where no other call did: rejected for their size, or timed out just after an outage, as they are more frequent than renewals. Evidence: dependency lines of edge-trois-rivieres-1, last failure after "store answers again", then entry_missing in place of gone.

The test removed_server_while_evidence_unwritten failed before (12 requests to the removed server) and passes now.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -120,25 +120,31 @@
     shared: &GatewayShared,
     call: impl Future<Output = Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
-    let result = call.await;
+    let result = count_store_call(shared, call).await;
     let error = match &result {
         Ok(_) | Err(PlatformError::HistoryGone) => None,
         Err(error) => Some(error.to_string()),
     };
-    let outcome = if error.is_some() {
-        "failed"
-    } else {
-        "answered"
-    };
-    shared
-        .metrics
-        .store_calls
-        .with_label_values(&[outcome])
-        .inc();
     record_store_result(shared, error);
     result
 }
 
+/// Awaits a store call and counts it by whether the store answered. Unlike [`track_store_call`], a
+/// failure says nothing about the entries of backend servers.
+pub(crate) async fn count_store_call<T>(
+    shared: &GatewayShared,
+    call: impl Future<Output = Result<T, PlatformError>>,
+) -> Result<T, PlatformError> {
+    let result = call.await;
+    let outcome = match &result {
+        Ok(_) | Err(PlatformError::HistoryGone) => "answered",
+        Err(_) => "failed",
+    };
+    let calls = &shared.metrics.store_calls;
+    calls.with_label_values(&[outcome]).inc();
+    result
+}
+
 /// Records whether the store answered, and logs when that changes.
 fn record_store_result(shared: &GatewayShared, error: Option<String>) {
     let now = Instant::now();
--- a/crates/gateway/src/suspect_store.rs
+++ b/crates/gateway/src/suspect_store.rs
@@ -28,7 +28,7 @@
 
 use crate::crash_suspects::log_merged;
 use crate::shared::GatewayShared;
-use crate::store_watch::track_store_call;
+use crate::store_watch::count_store_call;
 use crate::suspect_record::{
     ClockReading,
     SUSPECT_PREFIX,
@@ -118,7 +118,7 @@
     let write = shared
         .store
         .write(batch.preconditions, batch.puts, Vec::new());
-    let outcome = track_store_call(shared, write).await;
+    let outcome = count_store_call(shared, write).await;
     if let Ok(WriteOutcome::Committed(revision)) = outcome {
         let mut state = shared.lock();
         for fingerprint in batch.fingerprints {
@@ -152,7 +152,7 @@
 
 /// Reads all records again after a conflict.
 async fn reload_suspects(shared: &GatewayShared) -> Result<(), PlatformError> {
-    let range = track_store_call(shared, shared.store.range(SUSPECT_PREFIX)).await?;
+    let range = count_store_call(shared, shared.store.range(SUSPECT_PREFIX)).await?;
     replace_suspects(shared, &range.items);
     Ok(())
 }
@@ -233,7 +233,7 @@
         .map(|precondition| precondition.key.clone());
     let keys = keys.collect();
     let write = shared.store.write(preconditions, Vec::new(), keys);
-    match track_store_call(shared, write).await? {
+    match count_store_call(shared, write).await? {
         WriteOutcome::Committed(_) => Ok(()),
         WriteOutcome::Conflict | WriteOutcome::LeaseEnded => reload_suspects(shared).await,
     }
