gateway: a verdict holds for retries and resumes

What callers saw: a request ended a fourth server, or with prefill engines a fourth and fifth, within one send: the retry or resume after the third crash went out.

Cause: the verdict was asked for once, before the first attempt. Evidence of the tests before: 4 servers in crashes_before_head_of_call, 4 in crashes_during_prefill, 6 where each send was resumed.

Change: each attempt, prefill, run, retry or resume, asks before it selects the retry budget. A request that has run by then ends with 502, one that has not with 503 and the time that remains. A trial covers the attempts of one run: once it has caused a crash, no further attempt follows.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -24,6 +24,7 @@
     AttemptError,
     OpenResponse, //
 };
+use crate::crash_suspects::check_suspect;
 use crate::forward::start_forwarding;
 use crate::in_flight::InFlightGuard;
 use crate::kv_cache::RemoteKvCache;
@@ -95,6 +96,9 @@
             return Err(history.final_error("no_engine"));
         };
         let instance = engine.selection.instance.clone();
+        if let Err(AttemptError::Quarantined(remaining)) = check_suspect(context) {
+            return Err(history.quarantine_error(remaining));
+        }
         if !history.is_first_attempt() && !context.shared.try_spend_retry(&context.service) {
             return Err(history.final_error("repeats_spent"));
         }
@@ -145,6 +149,7 @@
         && history.unreachable < MAX_UNREACHABLE_SERVERS
     {
         let engine = select_prefill(context, history)?;
+        check_suspect(context).ok()?;
         if history.prefill_attempts > 0 && !context.shared.try_spend_retry(&context.service) {
             return None;
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -21,7 +21,10 @@
     AttemptError,
     CompleteResponse, //
 };
-use crate::crash_suspects::record_completed;
+use crate::crash_suspects::{
+    check_suspect,
+    record_completed, //
+};
 use crate::in_flight::InFlightGuard;
 use crate::latency::ServerStage;
 use crate::request::{
@@ -49,6 +52,9 @@
             requests: 1,
             ..BackendLoad::default()
         };
+        if let Err(AttemptError::Quarantined(remaining)) = check_suspect(context) {
+            return Err(history.quarantine_error(remaining));
+        }
         let in_flight = InFlightGuard::new(context, &instance, load);
         let started = Instant::now();
         let metadata = context.attempt_metadata(&instance, context.urgency().position());
