gateway: silence is noted while the attempt still waits

What callers saw: a fourth server ended under copies of a request sent while the third was silent.

Cause: the silence of a server became evidence when the attempt ended, by the deadline or because the caller left. A copy sent before then ran.

Change: an attempt that waits notes that its server does not respond on any connection, and goes on waiting.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,6 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{
     Instant,
-    sleep,
     sleep_until, //
 };
 use units::InstanceId;
@@ -40,15 +39,14 @@
     RequestContext, //
 };
 use crate::request_error::RequestError;
-use crate::send::release_connection;
+use crate::send::{
+    record_silence,
+    release_connection, //
+};
 
 /// Number of chunks buffered for a slow caller.
 const CHUNK_QUEUE_LENGTH: usize = 8;
 
-/// Time without data from the engine before the first check whether the engine is unresponsive, and
-/// between further checks.
-const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(400);
-
 /// Arrival times of the events of a stream, across all its attempts.
 #[derive(Debug, Default)]
 struct StreamTiming {
@@ -217,16 +215,6 @@
     speeds.decode.add_sample(streams, tokens, started.elapsed());
 }
 
-/// Waits until an engine shows no liveness signal on any connection.
-async fn wait_until_unresponsive(context: &RequestContext, instance: &InstanceId) {
-    loop {
-        sleep(LIVENESS_CHECK_INTERVAL).await;
-        if context.shared.is_unresponsive(instance) {
-            return;
-        }
-    }
-}
-
 /// Forwards the events of one attempt until the attempt ends.
 async fn forward_events(
     context: &RequestContext,
@@ -247,7 +235,8 @@
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
-            () = wait_until_unresponsive(context, &instance), if can_resume => return AttemptEnd::Failed("silent"),
+            () = context.wait_until_unresponsive(&instance), if can_resume => return AttemptEnd::Failed("silent"),
+            never = record_silence(context, &instance), if !can_resume => match never {},
             () = chunks.closed() => return AttemptEnd::Aborted,
             () = sleep_until(context.deadline) => return AttemptEnd::DeadlineExceeded,
         };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -29,7 +29,10 @@
     RouteRule,
     SelectionRequest, //
 };
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 use units::{
     ConfigVersion,
     FingerprintId,
@@ -41,6 +44,10 @@
 use crate::request_error::RequestError;
 use crate::shared::GatewayShared;
 
+/// Time without data from a backend server before the first check whether it is unresponsive, and
+/// between further checks.
+const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
 /// A request of a caller with the route that matches it.
 pub(crate) struct RequestContext {
     pub(crate) shared: Arc<GatewayShared>,
@@ -142,6 +149,16 @@
         }
     }
 
+    /// Waits until a backend server shows no liveness signal on any connection.
+    pub(crate) async fn wait_until_unresponsive(&self, instance: &InstanceId) {
+        loop {
+            sleep(LIVENESS_CHECK_INTERVAL).await;
+            if self.shared.is_unresponsive(instance) {
+                return;
+            }
+        }
+    }
+
     /// Returns whether a request that may have been processed may be sent again.
     pub(crate) fn may_retry(&self, history: &AttemptHistory) -> bool {
         self.rule.kind.is_retryable() && history.maybe_processed < self.rule.max_attempts
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server and checks the response.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -60,11 +61,13 @@
     address: SocketAddr,
     metadata: &AttemptMetadata,
 ) -> Result<OpenResponse, AttemptError> {
-    let result = timeout_at(
-        context.deadline,
-        start_without_timeout(context, address, metadata),
-    )
-    .await;
+    let starting = async {
+        tokio::select! {
+            result = start_without_timeout(context, address, metadata) => result,
+            never = record_silence(context, &metadata.instance) => match never {},
+        }
+    };
+    let result = timeout_at(context.deadline, starting).await;
     let result = result.unwrap_or(Err(AttemptError::DeadlineExceeded));
     if result.is_ok() {
         context.shared.record_liveness(&metadata.instance);
@@ -82,6 +85,15 @@
     result
 }
 
+/// Records that a backend server has fallen silent while an attempt waits for it. The attempt goes on
+/// waiting, but a copy of the request must not run meanwhile as if nothing had happened.
+pub(crate) async fn record_silence(context: &RequestContext, instance: &InstanceId) -> Infallible {
+    context.wait_until_unresponsive(instance).await;
+    let cause = "backend server does not respond on any connection";
+    record_crash(&context.shared, &context.witness(), instance, cause);
+    std::future::pending().await
+}
+
 /// Records the outcome of an attempt in the metrics and in the health of the backend server.
 fn record_attempt(
     context: &RequestContext,
