gateway, platform: a server that outlives a broken response is no evidence

What callers saw: requests that met lost, malformed or broken-off answers three times were refused for ten minutes, though their servers lived; so were requests that met crashes while as many servers crashed without them.

Cause: a broken connection was taken for the end of the server. A larger count would only cost servers.

Change: from the second presumed crash of a request on, its gateway asks the servers once: an engine's report states when its process started, the health check of a plain service answers at once or not at all. The same process voids the crash; a refused connection, another instance or a later start confirms it.

Why it works: a request that crashes servers crashes each one that runs it, so one surviving server or one complete run is enough to clear it.

Ruled out: counting more crashes; clearing on any later answer of the server, which may be the next process.

--- /dev/null
+++ b/crates/gateway/src/crash_probe.rs
@@ -0,0 +1,147 @@
+//! Finds out whether the process of a backend server has outlived a presumed crash.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use platform::{
+    ProbeAnswer,
+    probe_server, //
+};
+use policy::{
+    CrashState,
+    ServerCrash, //
+};
+use tokio::time::Instant;
+
+use crate::crash_suspects::queue_news;
+use crate::shared::{
+    GatewayShared,
+    GatewayState, //
+};
+
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a crash whose probe showed nothing may be probed again.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of probes started at once.
+const MAX_PROBES: usize = 16;
+/// Time after a presumed crash in which an answer must come from the same process, if the process
+/// does not state when it started. A restart takes longer.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+
+/// What a gateway knows about the server of a presumed crash.
+enum ProbeTarget {
+    /// The state follows from the entry in the platform's registry.
+    Known(CrashState),
+    Server {
+        address: SocketAddr,
+        /// Path of the health check of a plain service; `None` for engines.
+        health_path: Option<String>,
+    },
+}
+
+/// Probes the servers of presumed crashes in the background.
+pub(crate) fn probe_crashes(shared: &Arc<GatewayShared>, crashes: Vec<ServerCrash>) {
+    let now = Instant::now();
+    let mut state = shared.lock();
+    let probes = &mut state.suspect_news.probes;
+    probes.retain(|_, at| now < *at + PROBE_INTERVAL);
+    let mut due = crashes;
+    due.retain(|crash| !probes.contains_key(&crash.id));
+    due.truncate(MAX_PROBES);
+    probes.extend(due.iter().map(|crash| (crash.id, now)));
+    drop(state);
+    for crash in due {
+        tokio::spawn(probe_crash(shared.clone(), crash));
+    }
+}
+
+async fn probe_crash(shared: Arc<GatewayShared>, crash: ServerCrash) {
+    let target = probe_target(&shared.lock(), &crash);
+    let state = match target {
+        ProbeTarget::Known(state) => Some(state),
+        ProbeTarget::Server {
+            address,
+            health_path,
+        } => {
+            let server = &crash.server;
+            let path = health_path.as_deref();
+            match probe_server(address, server, path, PROBE_TIMEOUT).await {
+                Ok(answer) => state_after(answer, &crash),
+                Err(error) => {
+                    log_probe(&shared, &crash, &error.to_string(), 0);
+                    None
+                }
+            }
+        }
+    };
+    let Some(state) = state else { return };
+    let mut guard = shared.lock();
+    let gateway_state = &mut *guard;
+    let concerned = gateway_state.suspects.record_state(crash.id, state);
+    for fingerprint in &concerned {
+        queue_news(&shared, gateway_state, *fingerprint);
+    }
+    drop(guard);
+    let outcome = match state {
+        CrashState::Outlived => "backend server has outlived a presumed crash",
+        _ => "backend server of a presumed crash has ended",
+    };
+    log_probe(&shared, &crash, outcome, concerned.len());
+}
+
+fn probe_target(state: &GatewayState, crash: &ServerCrash) -> ProbeTarget {
+    let Some(view) = state.fleet.get(&crash.server) else {
+        return ProbeTarget::Known(CrashState::Confirmed);
+    };
+    let record = &view.record;
+    let incarnation = crash.incarnation.map(|incarnation| incarnation.0);
+    if record.started_unix_ms != incarnation {
+        return ProbeTarget::Known(CrashState::Confirmed);
+    }
+    let services = state.table.as_ref().map(|table| &table.services);
+    let service = services.and_then(|services| services.get(&record.service));
+    let health_path = service.map(|service| service.health_path.clone());
+    ProbeTarget::Server {
+        address: record.address,
+        health_path: health_path.filter(|_| record.stage.is_none()),
+    }
+}
+
+/// Returns what an answer shows about the process that was presumed to have crashed.
+fn state_after(answer: ProbeAnswer, crash: &ServerCrash) -> Option<CrashState> {
+    match answer {
+        ProbeAnswer::NotListening | ProbeAnswer::OtherInstance => Some(CrashState::Confirmed),
+        ProbeAnswer::Alive {
+            started_unix_ms: Some(started),
+        } if crash.incarnation.is_some() => {
+            let is_same = crash.incarnation.is_some_and(|known| known.0 == started);
+            Some(if is_same {
+                CrashState::Outlived
+            } else {
+                CrashState::Confirmed
+            })
+        }
+        ProbeAnswer::Alive { .. } => {
+            (crash.at.elapsed() < RESTART_TIME).then_some(CrashState::Outlived)
+        }
+    }
+}
+
+fn log_probe(shared: &GatewayShared, crash: &ServerCrash, outcome: &str, concerned: usize) {
+    let metrics = &shared.metrics;
+    metrics.crash_evidence.with_label_values(&["probe"]).inc();
+    let incarnation = crash.incarnation.map(|incarnation| incarnation.0);
+    let record = DecisionRecord::new(DecisionKind::Suspect, outcome)
+        .chosen(&crash.server)
+        .input("source", "probe")
+        .input("incarnation", incarnation)
+        .input("requests", concerned)
+        .input("age_ms", crash.at.elapsed().as_millis() as u64);
+    shared.log.write(record);
+}
--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::attempt::AttemptError;
+use crate::crash_probe::probe_crashes;
 use crate::request::RequestContext;
 use crate::shared::{
     GatewayShared,
@@ -77,6 +78,7 @@
     if is_new {
         queue_news(shared, state, fingerprint);
     }
+    let unconfirmed = state.suspects.unconfirmed_crashes(fingerprint);
     drop(guard);
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["own"]).inc();
@@ -89,6 +91,7 @@
         .input("crashes", count)
         .input("age_ms", 0);
     shared.log.write(record);
+    probe_crashes(shared, unconfirmed);
 }
 
 /// Queues the evidence on a suspect for the peers and the store.
@@ -122,8 +125,10 @@
     if count >= REPEATED_CRASHES {
         queue_news(shared, state, fingerprint);
     }
+    let unconfirmed = state.suspects.unconfirmed_crashes(fingerprint);
     drop(guard);
     log_merged(shared, evidence, "peer", peer.as_str(), count);
+    probe_crashes(shared, unconfirmed);
 }
 
 /// Logs evidence that came from a peer or from the store.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! processed.
 
 mod attempt;
+mod crash_probe;
 mod crash_suspects;
 mod daemon;
 mod error;
--- a/crates/gateway/src/suspect_news.rs
+++ b/crates/gateway/src/suspect_news.rs
@@ -5,8 +5,11 @@
     BTreeSet, //
 };
 
+use tokio::time::Instant;
 use units::FingerprintId;
 
+use policy::CrashId;
+
 /// Number of load reports that carry the same evidence, since datagrams get lost.
 const REPORT_REPEATS: u32 = 3;
 /// Maximum number of suspects in one load report.
@@ -23,6 +26,8 @@
     unwritten: BTreeSet<FingerprintId>,
     /// Revisions of the records in the store.
     revisions: BTreeMap<FingerprintId, u64>,
+    /// Time of the latest probe for each crash.
+    pub(crate) probes: BTreeMap<CrashId, Instant>,
 }
 
 impl SuspectNews {
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Returns whether the server refused the connection, so that nothing listens there.
+    pub fn is_connection_refused(&self) -> bool {
+        let Self::Connect { source, .. } = self else {
+            return false;
+        };
+        source.kind() == std::io::ErrorKind::ConnectionRefused
+    }
+
     /// Returns whether it is certain that nothing was sent.
     pub fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::Build { .. })
