policy, gateway: entries that vanish after the store's return are not kept as long as in an outage

Cause: an entry that vanishes within 2.5 s of a failed store call was kept 1.8 s for its return, also if it vanished a second after the store's return, and a call of the outage that timed out later counted as another one.

Change: StoreHealth in policy says when the store returned. Entries are kept until 2.2 s after that at most, by which time the platform has restored those that will be.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -24,6 +24,7 @@
     RetryBudget,
     RetryLimits,
     RouteTable,
+    StoreHealth,
     SuspectLimits,
     SuspectRegistry,
     accepts_while_draining, //
@@ -100,10 +101,8 @@
     pub(crate) grace: Duration,
     /// Start of the graceful shutdown, or `None` while the gateway is not draining.
     pub(crate) draining_since: Option<Instant>,
-    /// Whether the latest store call failed.
-    pub(crate) store_is_down: bool,
-    /// Time of the latest failed store call.
-    pub(crate) last_store_failure: Option<Instant>,
+    /// Availability of the store.
+    pub(crate) store_health: StoreHealth,
 }
 
 fn retry_limits(settings: &GatewaySettings) -> RetryLimits {
@@ -153,8 +152,7 @@
                 grace: settings.grace_period(),
                 draining_since: None,
                 order_lease: OrderLease::new(PLANNER_LEASE_TTL, settle_time),
-                store_is_down: false,
-                last_store_failure: None,
+                store_health: StoreHealth::default(),
             }),
             suspect_reports: Notify::new(),
             suspect_writes: Notify::new(),
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -80,8 +80,8 @@
     let now = Instant::now();
     let state = shared.lock();
     let epoch = state.order_lease.epoch(boot_time())?;
-    let last_failure = state.last_store_failure;
-    if last_failure.is_some_and(|at| now < at + MIN_STORE_STABLE_TIME) {
+    let health = &state.store_health;
+    if health.has_failed_within(now, MIN_STORE_STABLE_TIME) {
         return None;
     }
     let observations = observations(&state, service, pending, now);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -49,8 +49,6 @@
 const BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Delay after a failed store call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Time after a failed store call during which removed entries may come back.
-const ENTRY_RETURN_TIME: Duration = Duration::from_millis(2_500);
 /// Interval between checks for entries that did not come back.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -120,12 +118,13 @@
     shared: &GatewayShared,
     call: impl Future<Output = Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
+    let sent_at = Instant::now();
     let result = count_store_call(shared, call).await;
     let error = match &result {
         Ok(_) | Err(PlatformError::HistoryGone) => None,
         Err(error) => Some(error.to_string()),
     };
-    record_store_result(shared, error);
+    record_store_result(shared, sent_at, error);
     result
 }
 
@@ -146,21 +145,23 @@
 }
 
 /// Records whether the store answered, and logs when that changes.
-fn record_store_result(shared: &GatewayShared, error: Option<String>) {
+fn record_store_result(shared: &GatewayShared, sent_at: Instant, error: Option<String>) {
     let now = Instant::now();
     let mut state = shared.lock();
-    let was_down = std::mem::replace(&mut state.store_is_down, error.is_some());
-    if error.is_some() {
-        state.last_store_failure = Some(now);
-    }
+    let has_changed = match &error {
+        Some(_) => state.store_health.record_failure(now, sent_at),
+        None => state.store_health.record_success(now),
+    };
     drop(state);
+    if !has_changed {
+        return;
+    }
     let record = match error {
-        Some(error) if !was_down => {
+        Some(error) => {
             let record = DecisionRecord::new(DecisionKind::Dependency, "store does not answer");
             record.input("error", error).failure()
         }
-        None if was_down => DecisionRecord::new(DecisionKind::Dependency, "store answers again"),
-        _ => return,
+        None => DecisionRecord::new(DecisionKind::Dependency, "store answers again"),
     };
     shared.log.write(record);
 }
@@ -203,10 +204,9 @@
     shared.log.write(record);
 }
 
-/// Returns whether a store call failed so recently that removed entries may come back.
+/// Returns whether removed entries may come back.
 fn entries_may_return(shared: &GatewayShared, now: Instant) -> bool {
-    let last_failure = shared.lock().last_store_failure;
-    last_failure.is_some_and(|at| now < at + ENTRY_RETURN_TIME)
+    shared.lock().store_health.entries_may_return(now)
 }
 
 fn replace_backends(shared: &GatewayShared, items: &[KeyValue]) {
@@ -272,7 +272,11 @@
     loop {
         sleep(EXPIRY_INTERVAL).await;
         let now = Instant::now();
-        let expired_instances = shared.lock().fleet.expire(now);
+        let mut guard = shared.lock();
+        let state = &mut *guard;
+        let all_restored = state.store_health.has_restored_entries(now);
+        let expired_instances = state.fleet.expire(now, all_restored);
+        drop(guard);
         for instance in expired_instances {
             shared.metrics.latencies.remove_server(&instance);
             log_backend_change(&shared, &instance, "entry_did_not_return");
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -262,12 +262,12 @@
         changes
     }
 
-    /// Removes backend servers whose entries did not come back in time, and returns their
-    /// instances.
-    pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
+    /// Removes backend servers whose entries did not come back in time, or at all if the store has
+    /// restored those that will, and returns their instances.
+    pub fn expire(&mut self, now: Instant, all_restored: bool) -> Vec<InstanceId> {
         let is_expired = |view: &BackendView| {
             let since = view.missing_since;
-            since.is_some_and(|since| now >= since + MISSING_ENTRY_GRACE)
+            since.is_some_and(|since| all_restored || now >= since + MISSING_ENTRY_GRACE)
         };
         let expired = self.views.iter().filter(|(_, view)| is_expired(view));
         let expired_instances: Vec<InstanceId> =
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -11,6 +11,7 @@
     BackendLoad,
     BackendRecord,
     EngineStage, //
+    StoreHealth,
 };
 use tokio::time::Instant;
 use units::InstanceId;
@@ -93,7 +94,29 @@
     );
     assert_eq!(usable(&fleet, now, None), ["i-1", "i-2"]);
     fleet.upsert(record("i-1", None));
-    assert!(fleet.expire(now + Duration::from_secs(10)).is_empty());
+    assert!(fleet.expire(now + Duration::from_secs(10), true).is_empty());
+}
+
+/// Guards against an entry that vanished well after the store's return and is kept for as long as if
+/// it had vanished in the outage.
+#[test]
+fn expire_entry_missing_after_outage() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut health = StoreHealth::default();
+    assert!(!health.entries_may_return(at(0)));
+    assert!(health.record_failure(at(0), at(0)));
+    assert!(health.record_success(at(5_000)));
+    // A call sent in the outage times out after it.
+    assert!(!health.record_failure(at(6_000), at(4_800)));
+    assert!(health.entries_may_return(at(6_300)));
+    let mut fleet = fleet(&["i-1", "i-2"], None);
+    fleet.remove(at(6_300), &id("i-1"), true);
+    let expired = fleet.expire(at(7_100), health.has_restored_entries(at(7_100)));
+    assert!(expired.is_empty());
+    let expired = fleet.expire(at(7_200), health.has_restored_entries(at(7_200)));
+    assert_eq!(expired, [id("i-1")]);
+    assert!(!health.entries_may_return(at(7_200)));
 }
 
 /// The platform restores missing entries of live backend servers within two seconds of the store's
@@ -103,8 +126,11 @@
     let now = Instant::now();
     let mut fleet = fleet(&["i-1", "i-2"], None);
     fleet.remove(now, &id("i-1"), true);
-    assert!(fleet.expire(now + Duration::from_secs(1)).is_empty());
-    assert_eq!(fleet.expire(now + Duration::from_secs(2)), [id("i-1")]);
+    assert!(fleet.expire(now + Duration::from_secs(1), false).is_empty());
+    assert_eq!(
+        fleet.expire(now + Duration::from_secs(2), false),
+        [id("i-1")]
+    );
 }
 
 #[test]
