Revert "gateway: changes of suspects delay other changes for 100 ms, not 500 ms"

Each write by one gateway is one more watch by each of the others. The bound on entries that vanish after the store's return does what this was for.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -47,8 +47,6 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Delay after a change, so that changes in quick succession are fetched by one watch request.
 const BATCH_DELAY: Duration = Duration::from_millis(500);
-/// Delay after changes of suspects only, which come in bursts in which backend servers leave.
-const SUSPECT_BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Delay after a failed store call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between checks for entries that did not come back.
@@ -92,26 +90,16 @@
 async fn watch_changes(shared: &GatewayShared, after: u64) -> Result<u64, PlatformError> {
     let watch = shared.store.watch("", after, WATCH_TIMEOUT);
     let updates = track_store_call(shared, watch).await?;
-    let keys = updates.changes.iter().map(KeyChange::key);
-    let delay = keys.map(batch_delay).max();
+    let is_empty = updates.changes.is_empty();
     for change in updates.changes {
         apply_change(shared, change);
     }
-    if let Some(delay) = delay {
-        sleep(delay).await;
+    if !is_empty {
+        sleep(BATCH_DELAY).await;
     }
     Ok(updates.revision.max(after))
 }
 
-/// Returns the delay after a change of a key.
-fn batch_delay(key: &str) -> Duration {
-    if key.starts_with(SUSPECT_PREFIX) {
-        SUSPECT_BATCH_DELAY
-    } else {
-        BATCH_DELAY
-    }
-}
-
 fn apply_change(shared: &GatewayShared, change: KeyChange) {
     let key = change.key();
     if key.starts_with(BACKEND_PREFIX) {
