gateway: single crashes wait for the store, and silence is probed before it is evidence

Cause, from its log lines: 513 of 643 pieces of evidence were of busy engines that sent nothing for 600 ms; each was written at once, 884 writes conflicted since gateways rewrote each other's records with the states of probes and with completions, and each write is one more watch by each of ten gateways.

Change: evidence of a single crash is written after 1 s unless the request has completed by then, and only evidence of several crashes is rewritten and relayed. Silence is evidence only if the server does not answer a probe within 300 ms either; one probe serves all requests that wait on a server, and a request without crashes is looked at only when its attempt ends.

Cost: if all gateways are lost within 1 s of a first crash, it is forgotten.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -17,15 +17,19 @@
     ServerCrash, //
 };
 use tokio::time::Instant;
+use units::InstanceId;
 
 use crate::crash_suspects::queue_news;
 use crate::shared::{
     GatewayShared,
     GatewayState, //
 };
+use crate::suspect_news::SilenceProbe;
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a probe of a server that has fallen silent.
+const SILENCE_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a crash whose probe showed nothing may be probed again.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of probes started at once.
@@ -45,6 +49,52 @@
     },
 }
 
+/// Returns whether a server that has fallen silent on all connections answers on a new one.
+///
+/// A busy server also sends nothing for a while. One probe at a time asks each server, and its result
+/// holds for all requests that wait for it.
+pub(crate) async fn answers_probe(shared: &GatewayShared, instance: &InstanceId) -> bool {
+    let lock = {
+        let mut state = shared.lock();
+        let locks = &mut state.suspect_news.silence_probes;
+        locks.retain(|_, lock| Arc::strong_count(lock) > 1);
+        locks.entry(instance.clone()).or_default().clone()
+    };
+    let mut last_result = lock.lock().await;
+    if let Some(probe) = *last_result
+        && probe.at.elapsed() < PROBE_INTERVAL
+    {
+        return probe.is_alive;
+    }
+    let Some((address, path)) = probe_address(&shared.lock(), instance) else {
+        return false;
+    };
+    let answer = probe_server(address, instance, path.as_deref(), SILENCE_PROBE_TIMEOUT).await;
+    let is_alive = matches!(answer, Ok(ProbeAnswer::Alive { .. }));
+    *last_result = Some(SilenceProbe {
+        at: Instant::now(),
+        is_alive,
+    });
+    let metrics = &shared.metrics;
+    metrics.crash_evidence.with_label_values(&["probe"]).inc();
+    is_alive
+}
+
+/// Returns the address of a server, and the path of its health check if it is a plain service.
+fn probe_address(
+    state: &GatewayState,
+    instance: &InstanceId,
+) -> Option<(SocketAddr, Option<String>)> {
+    let record = &state.fleet.get(instance)?.record;
+    let services = state.table.as_ref().map(|table| &table.services);
+    let service = services.and_then(|services| services.get(&record.service));
+    let health_path = service.map(|service| service.health_path.clone());
+    Some((
+        record.address,
+        health_path.filter(|_| record.stage.is_none()),
+    ))
+}
+
 /// Probes the servers of presumed crashes in the background.
 pub(crate) fn probe_crashes(shared: &Arc<GatewayShared>, crashes: Vec<ServerCrash>) {
     let now = Instant::now();
@@ -85,7 +135,9 @@
     let gateway_state = &mut *guard;
     let concerned = gateway_state.suspects.record_state(crash.id, state);
     for fingerprint in &concerned {
-        queue_news(&shared, gateway_state, *fingerprint);
+        if gateway_state.suspects.has_repeated_crashes(*fingerprint) {
+            queue_news(&shared, gateway_state, *fingerprint);
+        }
     }
     drop(guard);
     let outcome = match state {
@@ -104,12 +156,12 @@
     if record.started_unix_ms != incarnation {
         return ProbeTarget::Known(CrashState::Confirmed);
     }
-    let services = state.table.as_ref().map(|table| &table.services);
-    let service = services.and_then(|services| services.get(&record.service));
-    let health_path = service.map(|service| service.health_path.clone());
-    ProbeTarget::Server {
-        address: record.address,
-        health_path: health_path.filter(|_| record.stage.is_none()),
+    match probe_address(state, &crash.server) {
+        Some((address, health_path)) => ProbeTarget::Server {
+            address,
+            health_path,
+        },
+        None => ProbeTarget::Known(CrashState::Confirmed),
     }
 }
 
--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -26,15 +26,22 @@
 };
 
 use crate::attempt::AttemptError;
-use crate::crash_probe::probe_crashes;
+use crate::crash_probe::{
+    answers_probe,
+    probe_crashes, //
+};
 use crate::request::RequestContext;
 use crate::shared::{
     GatewayShared,
     GatewayState, //
 };
 
-/// Number of crashes from which evidence is repeated and relayed to the peers.
-const REPEATED_CRASHES: usize = 2;
+/// Time after which evidence of a single crash is written to the store.
+const SINGLE_CRASH_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Cause of evidence against requests on a backend server that has fallen silent.
+pub(crate) const SILENT_CAUSE: &str =
+    "backend server does not respond on any connection, nor to a probe";
 
 /// Returns the fingerprint of a request, which is identical when a caller sends it again.
 pub(crate) fn request_fingerprint(method: &Method, path: &str, body: &[u8]) -> FingerprintId {
@@ -50,6 +57,20 @@
     pub(crate) request_id: String,
 }
 
+/// Records in the background that a backend server has fallen silent, if a probe confirms it.
+pub(crate) fn record_silence_later(
+    shared: &Arc<GatewayShared>,
+    witness: CrashWitness,
+    instance: InstanceId,
+) {
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        if !answers_probe(&shared, &instance).await {
+            record_crash(&shared, &witness, &instance, SILENT_CAUSE);
+        }
+    });
+}
+
 /// Records that the response of a backend server broke off or that the server fell silent.
 pub(crate) fn record_crash(
     shared: &Arc<GatewayShared>,
@@ -94,15 +115,32 @@
     probe_crashes(shared, unconfirmed);
 }
 
-/// Queues the evidence on a suspect for the peers and the store.
+/// Queues the evidence on a suspect for the peers and the store. That of a single crash waits, since
+/// the request is mostly soon completed elsewhere.
 pub(crate) fn queue_news(
     shared: &GatewayShared,
     state: &mut GatewayState,
     fingerprint: FingerprintId,
 ) {
-    let is_repeated = state.suspects.crash_count(fingerprint) >= REPEATED_CRASHES;
+    let is_repeated = state.suspects.has_repeated_crashes(fingerprint);
+    let delay = if is_repeated {
+        Duration::ZERO
+    } else {
+        SINGLE_CRASH_DELAY
+    };
+    queue_news_after(shared, state, fingerprint, delay);
+}
+
+fn queue_news_after(
+    shared: &GatewayShared,
+    state: &mut GatewayState,
+    fingerprint: FingerprintId,
+    delay: Duration,
+) {
+    let is_repeated = delay.is_zero();
     state.suspect_news.report(fingerprint, is_repeated);
-    state.suspect_news.write(fingerprint);
+    let due = Instant::now() + delay;
+    state.suspect_news.write(due, fingerprint);
     shared.suspect_reports.notify_one();
     shared.suspect_writes.notify_one();
 }
@@ -118,12 +156,14 @@
     let fingerprint = evidence.fingerprint;
     let mut guard = shared.lock();
     let state = &mut *guard;
-    if !state.suspects.merge(now, evidence) {
-        return;
-    }
+    let is_new = state.suspects.merge(now, evidence);
     let count = state.suspects.crash_count(fingerprint);
-    if count >= REPEATED_CRASHES {
-        queue_news(shared, state, fingerprint);
+    let is_relayed = is_new && evidence.crashes.len() > 1;
+    if is_relayed || state.suspects.adds_to(evidence) {
+        queue_news_after(shared, state, fingerprint, Duration::ZERO);
+    }
+    if !is_new {
+        return;
     }
     let unconfirmed = state.suspects.unconfirmed_crashes(fingerprint);
     drop(guard);
@@ -171,12 +211,14 @@
     let fingerprint = context.fingerprint;
     let mut guard = context.shared.lock();
     let state = &mut *guard;
-    let had_crashes = state.suspects.record_completed(Instant::now(), fingerprint);
-    if had_crashes {
-        queue_news(&context.shared, state, fingerprint);
+    let crash_count = state.suspects.record_completed(Instant::now(), fingerprint);
+    // A single crash has no effect, so that nobody else needs to know that it is void.
+    match crash_count {
+        0 | 1 => state.suspect_news.cancel_write(fingerprint),
+        _ => queue_news_after(&context.shared, state, fingerprint, Duration::ZERO),
     }
     drop(guard);
-    if had_crashes {
+    if crash_count > 0 {
         let record = verdict_record(context, "cleared", "complete run; request cleared", 0);
         context.shared.log.write(record);
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,7 +28,8 @@
 
 use crate::crash_suspects::{
     record_completed,
-    record_crash, //
+    record_crash,
+    record_silence_later, //
 };
 use crate::generation::{
     OpenStream,
@@ -139,6 +140,9 @@
             AttemptEnd::Failed(reason) => reason,
         };
         record_broken_connection(&context, &instance);
+        if reason == "silent" {
+            record_silence_later(&context.shared, context.witness(), instance.clone());
+        }
         if let Some(cause) = crash_cause(reason) {
             record_crash(&context.shared, &context.witness(), &instance, cause);
         }
@@ -168,7 +172,6 @@
 /// Returns why a failed attempt may be due to a crash of the engine, if it may.
 fn crash_cause(reason: &str) -> Option<&'static str> {
     match reason {
-        "silent" => Some("backend server does not respond on any connection"),
         "stream_cut" | "ended_mid_event" => Some("connection broke within a stream"),
         _ => None,
     }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -11,7 +11,7 @@
 
 use crate::crash_suspects::{
     CrashWitness,
-    record_crash, //
+    record_silence_later, //
 };
 use crate::request::RequestContext;
 use crate::shared::GatewayShared;
@@ -61,8 +61,7 @@
         // A server that has fallen silent may have crashed, also if the caller or the deadline ended
         // the wait before the connection broke.
         if self.shared.is_unresponsive(&self.instance) {
-            let cause = "backend server does not respond on any connection";
-            record_crash(&self.shared, &self.witness, &self.instance, cause);
+            record_silence_later(&self.shared, self.witness.clone(), self.instance.clone());
         }
         self.subtract_load(self.load);
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -39,7 +39,11 @@
     CompleteResponse,
     OpenResponse, //
 };
-use crate::crash_suspects::record_crash;
+use crate::crash_probe::answers_probe;
+use crate::crash_suspects::{
+    SILENT_CAUSE,
+    record_crash, //
+};
 use crate::request::RequestContext;
 use crate::shared::GatewayShared;
 
@@ -85,12 +89,24 @@
     result
 }
 
-/// Records that a backend server has fallen silent while an attempt waits for it. The attempt goes on
-/// waiting, but a copy of the request must not run meanwhile as if nothing had happened.
+/// Records that a backend server has fallen silent while an attempt of a suspect waits for it. The
+/// attempt goes on waiting, but a copy of the request must not run meanwhile as if nothing had happened.
+/// For other requests, silence is noted at the end of the attempt.
 pub(crate) async fn record_silence(context: &RequestContext, instance: &InstanceId) -> Infallible {
-    context.wait_until_unresponsive(instance).await;
-    let cause = "backend server does not respond on any connection";
-    record_crash(&context.shared, &context.witness(), instance, cause);
+    loop {
+        context.wait_until_unresponsive(instance).await;
+        let crash_count = {
+            let state = context.shared.lock();
+            state.suspects.crash_count(context.fingerprint)
+        };
+        if crash_count == 0 {
+            continue;
+        }
+        if !answers_probe(&context.shared, instance).await {
+            break;
+        }
+    }
+    record_crash(&context.shared, &context.witness(), instance, SILENT_CAUSE);
     std::future::pending().await
 }
 
--- a/crates/gateway/src/suspect_news.rs
+++ b/crates/gateway/src/suspect_news.rs
@@ -1,14 +1,16 @@
 //! Evidence on crash suspects that has yet to reach the peers and the store.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 
-use tokio::time::Instant;
-use units::FingerprintId;
+use std::sync::Arc;
 
 use policy::CrashId;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+use units::{
+    FingerprintId,
+    InstanceId, //
+};
 
 /// Number of load reports that carry the same evidence, since datagrams get lost.
 const REPORT_REPEATS: u32 = 3;
@@ -17,15 +19,24 @@
 /// Maximum number of suspects that wait to be reported. The store tells peers about the others.
 const MAX_WAITING_SUSPECTS: usize = 512;
 
+/// Result of a probe of a server that has fallen silent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SilenceProbe {
+    pub(crate) at: Instant,
+    pub(crate) is_alive: bool,
+}
+
 /// Suspects whose evidence has changed, and what is known of their records in the store.
 #[derive(Debug, Default)]
 pub(crate) struct SuspectNews {
     /// Remaining reports to the peers.
     unreported: BTreeMap<FingerprintId, u32>,
-    /// Suspects whose records in the store lack evidence.
-    unwritten: BTreeSet<FingerprintId>,
+    /// Suspects whose records in the store lack evidence, and when the evidence is to be written.
+    unwritten: BTreeMap<FingerprintId, Instant>,
     /// Revisions of the records in the store.
     revisions: BTreeMap<FingerprintId, u64>,
+    /// Latest probe of each silent server, with its time and whether the server answered.
+    pub(crate) silence_probes: BTreeMap<InstanceId, Arc<Mutex<Option<SilenceProbe>>>>,
     /// Time of the latest probe for each crash.
     pub(crate) probes: BTreeMap<CrashId, Instant>,
 }
@@ -40,14 +51,20 @@
         }
     }
 
-    /// Queues a suspect for the store.
-    pub(crate) fn write(&mut self, fingerprint: FingerprintId) {
-        self.unwritten.insert(fingerprint);
+    /// Queues a suspect for the store, no later than it is queued already.
+    pub(crate) fn write(&mut self, due: Instant, fingerprint: FingerprintId) {
+        let known = self.unwritten.entry(fingerprint).or_insert(due);
+        *known = due.min(*known);
+    }
+
+    /// Removes a suspect whose evidence need not be written.
+    pub(crate) fn cancel_write(&mut self, fingerprint: FingerprintId) {
+        self.unwritten.remove(&fingerprint);
     }
 
-    /// Returns whether evidence waits for the store.
-    pub(crate) fn has_unwritten(&self) -> bool {
-        !self.unwritten.is_empty()
+    /// Returns when the next evidence is to be written.
+    pub(crate) fn next_write(&self) -> Option<Instant> {
+        self.unwritten.values().min().copied()
     }
 
     /// Takes the suspects for the next load report, those with the most crashes first.
@@ -68,13 +85,13 @@
     }
 
     /// Takes up to `limit` suspects for the next write to the store, those with the most crashes
-    /// first.
+    /// first and also those that are not due yet.
     pub(crate) fn take_unwritten(
         &mut self,
         limit: usize,
         crash_count: impl Fn(FingerprintId) -> usize,
     ) -> Vec<FingerprintId> {
-        let mut waiting: Vec<FingerprintId> = self.unwritten.iter().copied().collect();
+        let mut waiting: Vec<FingerprintId> = self.unwritten.keys().copied().collect();
         waiting.sort_by_key(|fingerprint| std::cmp::Reverse(crash_count(*fingerprint)));
         waiting.truncate(limit);
         for fingerprint in &waiting {
--- a/crates/gateway/src/suspect_store.rs
+++ b/crates/gateway/src/suspect_store.rs
@@ -22,7 +22,7 @@
 use tokio::time::{
     Instant,
     sleep,
-    timeout, //
+    timeout_at, //
 };
 use units::FingerprintId;
 
@@ -52,10 +52,7 @@
 pub(crate) async fn write_suspects(shared: Arc<GatewayShared>) {
     let mut cleaned_at = Instant::now();
     loop {
-        // Evidence may have been queued while a write was under way.
-        if !shared.lock().suspect_news.has_unwritten() {
-            let _ = timeout(CLEANUP_INTERVAL, shared.suspect_writes.notified()).await;
-        }
+        wait_for_write(&shared).await;
         let mut result = write_batch(&shared).await;
         if result.is_ok() && cleaned_at.elapsed() >= CLEANUP_INTERVAL {
             cleaned_at = Instant::now();
@@ -70,6 +67,21 @@
     }
 }
 
+/// Waits until evidence is to be written or records are to be removed.
+async fn wait_for_write(shared: &GatewayShared) {
+    let cleanup = Instant::now() + CLEANUP_INTERVAL;
+    loop {
+        let next = shared.lock().suspect_news.next_write();
+        let due = next.map_or(cleanup, |next| next.min(cleanup));
+        if timeout_at(due, shared.suspect_writes.notified())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
 /// Records to be written in one transaction.
 struct RecordBatch {
     fingerprints: Vec<FingerprintId>,
@@ -126,9 +138,10 @@
         }
         return Ok(());
     }
+    let now = Instant::now();
     // The response may also have been lost after the write took effect.
     for fingerprint in &batch.fingerprints {
-        shared.lock().suspect_news.write(*fingerprint);
+        shared.lock().suspect_news.write(now, *fingerprint);
     }
     log_unwritten(shared, batch.fingerprints.len(), &outcome);
     outcome?;
@@ -182,12 +195,13 @@
 
 /// Writes a record again that was removed although its evidence still has an effect here.
 fn forget_record(shared: &GatewayShared, fingerprint: FingerprintId) {
+    let now = Instant::now();
     let mut state = shared.lock();
     state.suspect_news.clear_revision(fingerprint);
-    if state.suspects.is_expired(Instant::now(), fingerprint) {
+    if state.suspects.is_expired(now, fingerprint) {
         state.suspects.remove(fingerprint);
     } else {
-        state.suspect_news.write(fingerprint);
+        state.suspect_news.write(now, fingerprint);
         shared.suspect_writes.notify_one();
     }
 }
@@ -213,7 +227,7 @@
     let is_new = state.suspects.merge(now, &evidence);
     let count = state.suspects.crash_count(fingerprint);
     if state.suspects.adds_to(&evidence) {
-        state.suspect_news.write(fingerprint);
+        state.suspect_news.write(now, fingerprint);
         shared.suspect_writes.notify_one();
     }
     drop(guard);
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -164,20 +164,20 @@
         concerned.map(|(fingerprint, _)| *fingerprint).collect()
     }
 
-    /// Records a complete run of a request, which clears it. Returns whether crashes were recorded
-    /// for it.
-    pub fn record_completed(&mut self, now: Instant, fingerprint: FingerprintId) -> bool {
+    /// Records a complete run of a request, which clears it. Returns the number of crashes that were
+    /// recorded for it.
+    pub fn record_completed(&mut self, now: Instant, fingerprint: FingerprintId) -> usize {
         if self.completions.len() >= COMPLETION_LIMIT {
             self.completions.pop_front();
         }
         self.completions.push_back((fingerprint, now));
         let Some(record) = self.records.get_mut(&fingerprint) else {
-            return false;
+            return 0;
         };
-        let had_crashes = !record.crashes.is_empty();
+        let crash_count = record.crashes.len();
         record.completed_at = Some(now);
         record.void_completed(&self.crashes);
-        had_crashes
+        crash_count
     }
 
     /// Records that a request runs once more in spite of its crashes.
@@ -194,6 +194,13 @@
         record.map_or(0, |record| self.ends_of(record).len())
     }
 
+    /// Returns whether a request has met crashes of several servers, whatever became of these. Evidence
+    /// of a single crash is common and mostly soon cleared.
+    pub fn has_repeated_crashes(&self, fingerprint: FingerprintId) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.crashes.len() > 1)
+    }
+
     /// Returns the evidence on a request, or `None` if there is none.
     pub fn evidence(&self, fingerprint: FingerprintId) -> Option<SuspectEvidence> {
         let record = self.records.get(&fingerprint)?;
@@ -213,11 +220,14 @@
         self.records.remove(&fingerprint);
     }
 
-    /// Returns whether more is known about a request than `evidence` says.
+    /// Returns whether more is known about a request with repeated crashes than `evidence` says.
     pub fn adds_to(&self, evidence: &SuspectEvidence) -> bool {
         let Some(record) = self.records.get(&evidence.fingerprint) else {
             return false;
         };
+        if record.crashes.len() < 2 && evidence.crashes.len() < 2 {
+            return false;
+        }
         let reported = SuspectRecord {
             crashes: evidence.crashes.iter().map(|crash| crash.id).collect(),
             completed_at: evidence.completed_at,
@@ -228,7 +238,7 @@
             let known = self.crashes.get(&crash.id);
             known.is_some_and(|known| known.state > crash.state)
         });
-        record.differs_from(&reported) || has_later_state && !record.crashes.is_empty()
+        record.differs_from(&reported) || has_later_state
     }
 
     /// Returns whether the evidence on a request has no effect any more.
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -229,7 +229,7 @@
     let third = record_crashes(&mut registry, Instant::now(), 3);
     let due = third + QUARANTINE;
     registry.record_trial(due, POISON);
-    assert!(registry.record_completed(due, POISON));
+    assert_eq!(registry.record_completed(due, POISON), 3);
     assert_eq!(
         registry.verdict(due, POISON, 0),
         SuspectVerdict::Unrestricted
