side: malformed events of an engine are no crash

What callers saw: a request whose engine sent bytes that are no events counted as one under which the engine crashed; two such answers kept it out for ten minutes. The engine lived.

Change: bytes that are no events end the run as interrupted, without a crash notice. The search for the end of an event goes over each byte once; it started over with each part. No test of its own: the side has no stand-in that garbles a stream; the demo's tests pass as before.

--- a/crates/side/src/job_run.rs
+++ b/crates/side/src/job_run.rs
@@ -15,6 +15,7 @@
 };
 use tokio::time::timeout;
 use units::TokenCount;
+use web::is_malformed;
 use wire::{
     FinishCode,
     GenerateRequest, //
@@ -51,8 +52,10 @@
     Paused(String),
     /// The engine was unreachable or rejected the request.
     NotStarted,
-    /// The connection broke, or the stream was malformed.
+    /// The connection broke.
     ConnectionBroken,
+    /// The engine sent bytes that are no events.
+    Malformed,
     /// Nothing arrived within the token timeout.
     TimedOut,
 }
@@ -112,6 +115,7 @@
         }
         Ok(_) => RunEnd::NotStarted,
         Err(error) if error.is_unsent() => RunEnd::NotStarted,
+        Err(error) if error.is_malformed() => RunEnd::Malformed,
         Err(_) => RunEnd::ConnectionBroken,
     };
     shared.finish_run(key, run_number, run_end);
@@ -131,18 +135,20 @@
         let Ok(next) = timeout(token_timeout, body.frame()).await else {
             return RunEnd::TimedOut;
         };
-        let Some(Ok(frame)) = next else {
-            return RunEnd::ConnectionBroken;
+        let frame = match next {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) if is_malformed(&error) => return RunEnd::Malformed,
+            _ => return RunEnd::ConnectionBroken,
         };
         let Some(data) = frame.data_ref() else {
             continue;
         };
         if !reader.push(data) {
-            return RunEnd::ConnectionBroken;
+            return RunEnd::Malformed;
         }
         while let Some(event) = reader.next_event() {
             let Ok(event) = serde_json::from_slice::<EngineEvent>(&event) else {
-                return RunEnd::ConnectionBroken;
+                return RunEnd::Malformed;
             };
             if let Some(stream) = event.stream {
                 shared.record_stream_id(key, run_number, stream);
@@ -239,7 +245,7 @@
                 self.record_engine_crash(state, job);
                 job.send_end(FinishCode::Crashed, String::new());
             }
-            RunEnd::NotStarted | RunEnd::TimedOut | RunEnd::Paused(_) => {
+            RunEnd::NotStarted | RunEnd::Malformed | RunEnd::TimedOut | RunEnd::Paused(_) => {
                 job.send_end(FinishCode::Interrupted, String::new());
             }
         }
--- a/crates/side/src/sse.rs
+++ b/crates/side/src/sse.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventReader {
     buffer: BytesMut,
+    /// Number of bytes of `buffer` that hold no end of an event.
+    searched: usize,
 }
 
 impl EventReader {
@@ -23,7 +25,14 @@
 
     /// Removes the next complete event and returns its data.
     pub(crate) fn next_event(&mut self) -> Option<BytesMut> {
-        let event_end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+        let unsearched = &self.buffer[self.searched..];
+        let Some(position) = unsearched.windows(2).position(|pair| pair == b"\n\n") else {
+            // The last byte may be the first of the two.
+            self.searched = self.buffer.len().saturating_sub(1);
+            return None;
+        };
+        let event_end = self.searched + position;
+        self.searched = 0;
         let mut event = self.buffer.split_to(event_end);
         self.buffer.advance(2);
         if event.starts_with(b"data: ") {
