web, policy, gateway: bytes without end are bounded in number and time

What callers saw: a server that sends interim responses, small chunks or comments without end was read until the caller's deadline, hundreds of megabytes; an event in chunks of one byte took minutes of processor time.

Cause: limits stood on what is handed on, a body or an event, and not on what is read. hyper skips interim responses without a limit; each byte of an event was searched again with each part; comments carry no id and counted as new events.

Change: each client connection has a budget of bytes read, 256 KB until the head of a response ends and 16 MB for the rest (twice its limit for a body that is read whole), framing included; over it the read fails as malformed and the connection closes. The read buffer of a head is 64 KB. A stream may send 1 MB of events without an id between two with one. The body of a refusal may have 64 KB.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -56,6 +56,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Reason of an attempt whose connection broke before the head of the response.
 const CONNECTION_BROKE: &str = "connection_broke";
+/// Size limit of the body of a refusal.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 /// Size limit of a response body that is read completely.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -240,7 +242,7 @@
     let deadline = context.deadline;
     tokio::spawn(async move {
         let (_, body) = response.http.into_parts();
-        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let reading = Limited::new(body, MAX_REFUSAL_BYTES).collect();
         if let Ok(Ok(_)) = timeout_at(deadline, reading).await {
             release_connection(&shared, response.connection, &response.metadata);
         }
--- a/crates/policy/src/event_cursor.rs
+++ b/crates/policy/src/event_cursor.rs
@@ -8,10 +8,13 @@
 /// Maximum length of an incomplete event. A longer one ends the stream.
 const EVENT_LIMIT_BYTES: usize = 256 * 1_024;
 
+/// Maximum number of bytes of events without an id, such as comments, between two events with one.
+const UNNUMBERED_LIMIT_BYTES: usize = 1_024 * 1_024;
+
 /// Reason why the bytes of an attempt cannot continue a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventError {
-    /// An event exceeds the maximum length.
+    /// An event, or the events without an id after one with an id, exceed the maximum length.
     TooLong,
     /// An event id does not follow the previous one by the step of this stream.
     Gap {
@@ -28,6 +31,12 @@
 #[derive(Debug, Default)]
 pub struct EventCursor {
     pending: BytesMut,
+    /// Start of the first line of `pending` whose end has not been found.
+    line_start: usize,
+    /// Number of bytes of `pending` that have been searched for the end of the event.
+    searched: usize,
+    /// Number of bytes of events without an id since the last one with an id.
+    unnumbered_bytes: usize,
     last_id: Option<u64>,
     id_step: Option<u64>,
 }
@@ -54,6 +63,7 @@
     /// Discards the incomplete event of the previous attempt.
     pub fn start_attempt(&mut self) {
         self.pending.clear();
+        (self.line_start, self.searched) = (0, 0);
     }
 
     /// Parses bytes of the current attempt and returns the complete events that were not forwarded
@@ -61,9 +71,18 @@
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         self.pending.extend_from_slice(data);
         let mut new_events = BytesMut::new();
-        while let Some(length) = first_event_length(&self.pending) {
+        while let Some(length) = self.first_event_length() {
             let event = self.pending.split_to(length);
-            if self.advance(event_id(&event))? {
+            (self.line_start, self.searched) = (0, 0);
+            let id = event_id(&event);
+            self.unnumbered_bytes = match id {
+                Some(_) => 0,
+                None => self.unnumbered_bytes + event.len(),
+            };
+            if self.unnumbered_bytes > UNNUMBERED_LIMIT_BYTES {
+                return Err(EventError::TooLong);
+            }
+            if self.advance(id)? {
                 new_events.extend_from_slice(&event);
             }
         }
@@ -73,6 +92,24 @@
         Ok(new_events.freeze())
     }
 
+    /// Returns the length of the first complete event, including the blank line that ends it. Searches
+    /// each byte once.
+    fn first_event_length(&mut self) -> Option<usize> {
+        let data = &self.pending;
+        for (index, byte) in data.iter().enumerate().skip(self.searched) {
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &data[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
+        }
+        self.searched = data.len();
+        None
+    }
+
     /// Advances to the event with this id and returns whether the event is new. Events without an
     /// id always count as new.
     fn advance(&mut self, id: Option<u64>) -> Result<bool, EventError> {
@@ -95,22 +132,6 @@
     }
 }
 
-/// Returns the length of the first complete event, including the blank line that ends it.
-fn first_event_length(data: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in data.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &data[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let found = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"));
--- a/crates/policy/tests/events.rs
+++ b/crates/policy/tests/events.rs
@@ -95,3 +95,31 @@
         prop_assert!(whole.starts_with(&forwarded));
     }
 }
+
+/// Guards against comments without end, which carry no id.
+#[test]
+fn push_endless_comments() {
+    let mut cursor = EventCursor::after(None);
+    cursor.push(event(1).as_bytes()).unwrap();
+    let comments = ": still there\n\n".repeat(1_000);
+    let mut pushed = 0;
+    while cursor.push(comments.as_bytes()).is_ok() {
+        pushed += comments.len();
+        assert!(pushed < 2 << 20, "{pushed} bytes");
+    }
+}
+
+/// Guards against a search for the end of an event that starts over with each of many small parts.
+#[test]
+fn push_long_event_in_single_bytes() {
+    let mut cursor = EventCursor::after(None);
+    let text = format!("id: 1\ndata: {}\n\n", "x".repeat(200_000));
+    let started = std::time::Instant::now();
+    let mut events = Bytes::new();
+    for byte in text.as_bytes() {
+        events = cursor.push(&[*byte]).unwrap();
+    }
+    assert_eq!(events, Bytes::from(text));
+    // A search from the start takes minutes.
+    assert!(started.elapsed() < std::time::Duration::from_secs(2));
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -18,7 +18,11 @@
 
 use crate::WebError;
 use crate::body::read_body;
-use crate::connection::start_connection;
+use crate::connection::{
+    HEAD_BUDGET_BYTES,
+    RESPONSE_BUDGET_BYTES,
+    start_connection, //
+};
 use crate::error::{
     BuildSnafu,
     ConnectSnafu,
@@ -83,16 +87,19 @@
     request: HttpRequest,
     timeout: Duration,
 ) -> Result<Response<Incoming>, WebError> {
-    let sending = open_without_timeout(request);
+    let sending = open_without_timeout(request, RESPONSE_BUDGET_BYTES);
     let sent = tokio::time::timeout(timeout, sending).await;
     sent.unwrap_or(Err(WebError::Timeout))
 }
 
-async fn open_without_timeout(request: HttpRequest) -> Result<Response<Incoming>, WebError> {
+async fn open_without_timeout(
+    request: HttpRequest,
+    budget_bytes: usize,
+) -> Result<Response<Incoming>, WebError> {
     let address = request.address;
     let stream = TcpStream::connect(address).await;
     let stream = stream.context(ConnectSnafu { address })?;
-    let mut sender = start_connection(address, stream).await?;
+    let (mut sender, read_budget) = start_connection(address, stream).await?;
     let mut builder = Request::builder().method(request.method).uri(&request.path);
     if !request.headers.iter().any(|(name, _)| *name == "host") {
         builder = builder.header("host", address.to_string());
@@ -101,7 +108,9 @@
         builder = builder.header(*name, value);
     }
     let request = builder.body(Full::new(request.body)).context(BuildSnafu)?;
-    sender.send_request(request).await.context(ExchangeSnafu)
+    let response = sender.send_request(request).await.context(ExchangeSnafu)?;
+    read_budget.set(budget_bytes);
+    Ok(response)
 }
 
 /// Sends a request and reads the complete response.
@@ -111,7 +120,9 @@
     timeout: Duration,
 ) -> Result<HttpResponse, WebError> {
     let exchange = async {
-        let response = open_without_timeout(request).await?;
+        // Chunks of a few bytes at least double the size of a body.
+        let budget_bytes = HEAD_BUDGET_BYTES + 2 * limit_bytes;
+        let response = open_without_timeout(request, budget_bytes).await?;
         let (parts, body) = response.into_parts();
         let body = read_body(body, limit_bytes, timeout).await?;
         Ok(HttpResponse {
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -8,8 +8,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{
-    SendRequest,
-    handshake, //
+    Builder,
+    SendRequest, //
 };
 use hyper::{
     Request,
@@ -29,6 +29,10 @@
     ConnectSnafu,
     ExchangeSnafu, //
 };
+use crate::read_budget::{
+    BudgetedStream,
+    ReadBudget, //
+};
 
 /// Idle time before the first TCP keepalive probe, and the interval between probes. A peer that is
 /// gone is detected within about 2.5 seconds.
@@ -36,6 +40,13 @@
 const KEEPALIVE_RETRIES: u32 = 2;
 /// Maximum time for which sent data may stay unacknowledged.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Size of the read buffer, which limits the head of a response.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Number of bytes that may be read before the head of a response ends, interim responses and read-ahead
+/// included.
+pub(crate) const HEAD_BUDGET_BYTES: usize = 4 * MAX_HEAD_BYTES;
+/// Number of bytes that may be read of a response, framing included.
+pub(crate) const RESPONSE_BUDGET_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
@@ -44,6 +55,7 @@
 pub struct ClientConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    read_budget: ReadBudget,
     /// Whether the connection comes from the pool, so that the server may have closed it meanwhile.
     pub is_reused: bool,
 }
@@ -63,9 +75,11 @@
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
         let stream = stream.context(ConnectSnafu { address })?;
+        let (sender, read_budget) = start_connection(address, stream).await?;
         Ok(Self {
             address,
-            sender: start_connection(address, stream).await?,
+            sender,
+            read_budget,
             is_reused: false,
         })
     }
@@ -78,8 +92,12 @@
         if let Err(source) = self.sender.ready().await {
             return Err(SendFailure::Unsent(WebError::Exchange { source }));
         }
+        self.read_budget.set(HEAD_BUDGET_BYTES);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.read_budget.set(RESPONSE_BUDGET_BYTES);
+                Ok(response)
+            }
             Err(mut failure) => {
                 let unsent = failure.take_message().is_some();
                 let source = failure.into_error();
@@ -98,12 +116,20 @@
 pub(crate) async fn start_connection(
     address: SocketAddr,
     stream: TcpStream,
-) -> Result<SendRequest<Full<Bytes>>, WebError> {
+) -> Result<(SendRequest<Full<Bytes>>, ReadBudget), WebError> {
     set_socket_options(&stream).context(ConnectSnafu { address })?;
-    let started = handshake(TokioIo::new(stream)).await;
+    let budget = ReadBudget::default();
+    budget.set(HEAD_BUDGET_BYTES);
+    let stream = BudgetedStream {
+        stream,
+        budget: budget.clone(),
+    };
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let started = builder.handshake(TokioIo::new(stream)).await;
     let (sender, driver) = started.context(ExchangeSnafu)?;
     tokio::spawn(driver);
-    Ok(sender)
+    Ok((sender, budget))
 }
 
 /// Sets the socket options that detect an unreachable peer.
