web: one stream wrapper observes arriving bytes

BudgetedStream repeated the 33 lines with which TrackedStream passes writes on. ObservedStream serves both; a closure says what a read does: start the header timeout of a caller, or charge the budget of a response.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -29,10 +29,8 @@
     ConnectSnafu,
     ExchangeSnafu, //
 };
-use crate::read_budget::{
-    BudgetedStream,
-    ReadBudget, //
-};
+use crate::observed_stream::ObservedStream;
+use crate::read_budget::ReadBudget;
 
 /// Idle time before the first TCP keepalive probe, and the interval between probes. A peer that is
 /// gone is detected within about 2.5 seconds.
@@ -120,9 +118,10 @@
     set_socket_options(&stream).context(ConnectSnafu { address })?;
     let budget = ReadBudget::default();
     budget.set(HEAD_BUDGET_BYTES);
-    let stream = BudgetedStream {
+    let read_budget = budget.clone();
+    let stream = ObservedStream {
         stream,
-        budget: budget.clone(),
+        observe: move |bytes| read_budget.charge(bytes),
     };
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
--- a/crates/web/src/connection_state.rs
+++ b/crates/web/src/connection_state.rs
@@ -17,11 +17,6 @@
     Frame,
     SizeHint, //
 };
-use tokio::io::{
-    AsyncRead,
-    AsyncWrite,
-    ReadBuf, //
-};
 use tokio::time::Instant;
 
 use crate::{
@@ -72,7 +67,7 @@
         *self.lock() = HttpPhase::Idle(Instant::now());
     }
 
-    fn record_bytes(&self) {
+    pub(crate) fn record_bytes(&self) {
         let mut phase = self.lock();
         if matches!(*phase, HttpPhase::Idle(_)) {
             *phase = HttpPhase::Header(Instant::now());
@@ -90,64 +85,6 @@
     }
 }
 
-/// Stream that records arriving bytes in the connection state.
-#[derive(Debug)]
-pub(crate) struct TrackedStream<S> {
-    pub(crate) stream: S,
-    pub(crate) state: ConnectionState,
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for TrackedStream<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.state.record_bytes();
-        }
-        polled
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for TrackedStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, data)
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, data)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 /// Response body that marks the connection as idle when dropped.
 pub(crate) struct TrackedBody {
     pub(crate) body: ResponseBody,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod limits;
 mod listen;
+mod observed_stream;
 mod read_budget;
 mod server;
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -39,9 +39,9 @@
 use crate::connection_state::{
     ConnectionState,
     TimeoutKind,
-    TrackedBody,
-    TrackedStream, //
+    TrackedBody, //
 };
+use crate::observed_stream::ObservedStream;
 use crate::{
     ConnectionLimits,
     ResponseBody,
@@ -148,9 +148,15 @@
             Ok::<_, Infallible>(response.map(|body| TrackedBody { body, state }))
         }
     });
-    let stream = TrackedStream {
+    let stream_state = state.clone();
+    let stream = ObservedStream {
         stream,
-        state: state.clone(),
+        observe: move |bytes| {
+            if bytes > 0 {
+                stream_state.record_bytes();
+            }
+            Ok(())
+        },
     };
     let buffer_bytes = limits
         .borrow()
