gateway: probes look a server up once

probe_target looked the server up again through probe_address, whose missing case could not occur there. health_path takes the record that both callers have. No change of behaviour.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -13,6 +13,7 @@
     probe_server, //
 };
 use policy::{
+    BackendRecord,
     CrashState,
     ServerCrash, //
 };
@@ -66,7 +67,12 @@
     {
         return probe.is_alive;
     }
-    let Some((address, path)) = probe_address(&shared.lock(), instance) else {
+    let target = {
+        let state = shared.lock();
+        let view = state.fleet.get(instance);
+        view.map(|view| (view.record.address, health_path(&state, &view.record)))
+    };
+    let Some((address, path)) = target else {
         return false;
     };
     let answer = probe_server(address, instance, path.as_deref(), SILENCE_PROBE_TIMEOUT).await;
@@ -80,19 +86,14 @@
     is_alive
 }
 
-/// Returns the address of a server, and the path of its health check if it is a plain service.
-fn probe_address(
-    state: &GatewayState,
-    instance: &InstanceId,
-) -> Option<(SocketAddr, Option<String>)> {
-    let record = &state.fleet.get(instance)?.record;
-    let services = state.table.as_ref().map(|table| &table.services);
-    let service = services.and_then(|services| services.get(&record.service));
-    let health_path = service.map(|service| service.health_path.clone());
-    Some((
-        record.address,
-        health_path.filter(|_| record.stage.is_none()),
-    ))
+/// Returns the path of the health check of a plain service, or `None` for an engine.
+fn health_path(state: &GatewayState, record: &BackendRecord) -> Option<String> {
+    if record.stage.is_some() {
+        return None;
+    }
+    let table = state.table.as_ref()?;
+    let service = table.services.get(&record.service)?;
+    Some(service.health_path.clone())
 }
 
 /// Probes the servers of presumed crashes in the background.
@@ -156,12 +157,9 @@
     if record.started_unix_ms != incarnation {
         return ProbeTarget::Known(CrashState::Confirmed);
     }
-    match probe_address(state, &crash.server) {
-        Some((address, health_path)) => ProbeTarget::Server {
-            address,
-            health_path,
-        },
-        None => ProbeTarget::Known(CrashState::Confirmed),
+    ProbeTarget::Server {
+        address: record.address,
+        health_path: health_path(state, record),
     }
 }
 
