gateway: an attempt formats its request id only for evidence

Each attempt allocated its id as text for the guard of its load, although only evidence prints it. The witness now holds the bytes that the request shares. No change of behaviour.

--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Method;
 use logs::{
     DecisionKind,
@@ -54,7 +55,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct CrashWitness {
     pub(crate) fingerprint: FingerprintId,
-    pub(crate) request_id: String,
+    pub(crate) request_id: Bytes,
 }
 
 /// Records in the background that a backend server has fallen silent, if a probe confirms it.
@@ -104,7 +105,7 @@
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["own"]).inc();
     let record = DecisionRecord::new(DecisionKind::Suspect, cause)
-        .request(&witness.request_id)
+        .request(String::from_utf8_lossy(&witness.request_id))
         .chosen(instance)
         .input("fingerprint", fingerprint.to_string())
         .input("source", "own")
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -80,7 +80,7 @@
     pub(crate) fn witness(&self) -> CrashWitness {
         CrashWitness {
             fingerprint: self.fingerprint,
-            request_id: self.id(),
+            request_id: self.metadata.request_id.clone(),
         }
     }
 
