gateway: log when a stream's server falls silent, and requests cut by the end of a shutdown

Logs could not tell whether a stream ended for a silence of its server, or with the gateway. A silence now leaves a line with its length and whether another attempt is allowed. A connection that ends without an answer says whether the gateway was draining, and requests that the end of the grace period cuts get their line before the process exits: the server task was detached and its requests were dropped after the last flush. No decision changes.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -60,6 +60,8 @@
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_300);
 /// Time between the latest exit of the gateway and the SIGKILL at the end of the grace period.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(250);
+/// Time in which requests that the end of the grace period cuts log their ends.
+const CUT_LOG_TIME: Duration = Duration::from_millis(20);
 /// Number of file descriptors reserved for backend servers, the store and files.
 const RESERVED_DESCRIPTORS: u32 = 1_200;
 
@@ -168,7 +170,7 @@
 
     /// Shuts the gateway down gracefully. It reports that it is not ready, accepts connections until
     /// the load balancer has noticed, and completes in-flight requests within the grace period.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         let record = DecisionRecord::new(DecisionKind::Process, "stopping");
         self.shared.log.write(record);
         self.shared.lock().draining_since = Some(Instant::now());
@@ -177,7 +179,12 @@
         sleep(notice_time).await;
         self.server_stop.send_replace(true);
         let remaining = grace.saturating_sub(notice_time + SHUTDOWN_MARGIN);
-        let all_answered = timeout(remaining, self.server).await.is_ok();
+        let all_answered = timeout(remaining, &mut self.server).await.is_ok();
+        if !all_answered {
+            // The requests that are cut log their ends before the gateway exits.
+            self.server.abort();
+            sleep(CUT_LOG_TIME).await;
+        }
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -141,6 +141,7 @@
         };
         record_broken_connection(&context, &instance);
         if reason == "silent" {
+            context.log_silence(&instance, context.may_retry(&history));
             record_silence_later(&context.shared, context.witness(), instance.clone());
         }
         if let Some(cause) = crash_cause(reason) {
@@ -193,7 +194,8 @@
             "first_event_ms",
             timing.first.map(|first| first.as_millis() as u64),
         )
-        .input("widest_gap_ms", timing.longest_gap.as_millis() as u64);
+        .input("widest_gap_ms", timing.longest_gap.as_millis() as u64)
+        .input("draining", context.shared.is_draining());
     let name = if failed { "stream_broken" } else { "stream" };
     context
         .shared
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -172,6 +172,21 @@
             .write(record.input("left_ms", self.time_left_ms()));
     }
 
+    /// Logs that a backend server has fallen silent within a stream.
+    pub(crate) fn log_silence(&self, instance: &InstanceId, may_retry: bool) {
+        let state = self.shared.lock();
+        let view = state.fleet.get(instance);
+        let silent_time = view.and_then(|view| view.silent_time(Instant::now()));
+        drop(state);
+        let record = self
+            .record(DecisionKind::Retry, "backend server silent within a stream")
+            .chosen(instance)
+            .input("silent_ms", silent_time.map(|time| time.as_millis() as u64))
+            .input("may_retry", may_retry)
+            .input("left_ms", self.time_left_ms());
+        self.shared.log.write(record);
+    }
+
     /// Logs a backend selection with the scores of the candidates.
     pub(crate) fn log_selection(&self, selection: &BackendSelection, reason: &str) {
         let scores = selection.considered.iter();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -90,7 +90,8 @@
             "caller disconnected before the response head",
         )
         .request(&self.id)
-        .input("held_ms", self.started.elapsed().as_millis() as u64);
+        .input("held_ms", self.started.elapsed().as_millis() as u64)
+        .input("draining", self.shared.is_draining());
         self.shared.log.write(record);
     }
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -147,6 +147,12 @@
         self.last_liveness = Some(now);
     }
 
+    /// Returns the time since the last liveness signal, or `None` if there was none.
+    pub fn silent_time(&self, now: Instant) -> Option<Duration> {
+        let last_liveness = self.last_liveness?;
+        Some(now.saturating_duration_since(last_liveness))
+    }
+
     /// Returns whether the backend server has in-flight requests and has exceeded its liveness
     /// timeout.
     pub fn is_unresponsive(&self, now: Instant) -> bool {
