gateway: a silent stream is kept until another attempt sends

Cause: after 600 ms without data from an engine the gateway dropped the open stream first and looked for another attempt then. Where the route or the retry budget allows none, or no other engine takes the request, nothing was left and the caller's connection was ended.

Change: silence opens another attempt beside the open stream. It replaces the silent one once it sends, which closes the silent one at once; if the silent one goes on first, the other attempt is dropped and counts against the attempts of the request. If the other attempt fails, the stream waits on, until its deadline. So a caller never loses an open stream for one that is not there.

Ruled out as the cause here: configuration versions (the request keeps the rule under which it was accepted).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,17 +1,14 @@
 //! Forwards the events of a stream to the caller, across the attempts that produce the stream.
 
 use std::sync::Arc;
-use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use logs::DecisionKind;
 use platform::strip_hop_by_hop_headers;
-use policy::{
-    AttemptOutcome,
-    EventCursor, //
-};
+use policy::EventCursor;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{
     Instant,
@@ -22,8 +19,7 @@
     AbortedResponse,
     ResponseBody,
     ResponseChunk,
-    abortable_body,
-    is_malformed, //
+    abortable_body, //
 };
 
 use crate::crash_suspects::{
@@ -44,43 +40,50 @@
     record_silence,
     release_connection, //
 };
+use crate::standby::{
+    check_resumed,
+    open_standby, //
+};
+use crate::stream_attempt::{
+    StreamAttempt,
+    record_failed_attempt, //
+};
+use crate::stream_timing::StreamTiming;
 
 /// Number of chunks buffered for a slow caller.
 const CHUNK_QUEUE_LENGTH: usize = 8;
 
-/// Arrival times of the events of a stream, across all its attempts.
-#[derive(Debug, Default)]
-struct StreamTiming {
-    /// Time from the request to the first event.
-    first: Option<Duration>,
-    /// Time from the request to the latest event.
-    last: Option<Duration>,
-    /// Longest time between two events.
-    longest_gap: Duration,
-}
-
-impl StreamTiming {
-    /// Records events that arrived `elapsed` after the request.
-    fn record(&mut self, elapsed: Duration) {
-        self.first.get_or_insert(elapsed);
-        if let Some(last) = self.last.replace(elapsed) {
-            self.longest_gap = self.longest_gap.max(elapsed.saturating_sub(last));
-        }
-    }
-}
-
 /// How one attempt of a stream ended.
 enum AttemptEnd {
     /// The stream arrived completely.
     Complete,
     /// The stream broke off or is invalid, for the given reason.
     Failed(&'static str),
+    /// Another attempt sends while the engine of this one is silent or gone.
+    Replaced(Box<StreamAttempt>),
     /// The caller disconnected.
     Aborted,
     /// The request's deadline passed.
     DeadlineExceeded,
 }
 
+/// What happens next in a stream.
+enum NextStep {
+    /// The engine sent bytes, or the body ended.
+    Received(Result<Option<Bytes>, &'static str>),
+    /// The attempt ends for another reason.
+    Ended(AttemptEnd),
+}
+
+/// State of a stream across its attempts.
+struct StreamForwarder {
+    context: Arc<RequestContext>,
+    chunks: Sender<ResponseChunk>,
+    history: AttemptHistory,
+    cursor: EventCursor,
+    timing: StreamTiming,
+}
+
 /// Returns the head of a stream as the response, and forwards the events in a background task.
 pub(crate) fn start_forwarding(
     context: Arc<RequestContext>,
@@ -95,7 +98,14 @@
     stream.response.http = Response::new(body);
     strip_hop_by_hop_headers(&mut head.headers);
     let (chunks, response_body) = abortable_body(CHUNK_QUEUE_LENGTH);
-    tokio::spawn(forward_stream(context, stream, history, chunks));
+    let forwarder = StreamForwarder {
+        cursor: EventCursor::after(context.metadata.last_event_id),
+        timing: StreamTiming::default(),
+        context,
+        chunks,
+        history,
+    };
+    tokio::spawn(forward_stream(forwarder, stream));
     Response::from_parts(head, response_body)
 }
 
@@ -118,95 +128,31 @@
 
 /// Forwards a stream until it is complete. After a failure, resumes the stream on another engine if
 /// the request may be retried.
-async fn forward_stream(
-    context: Arc<RequestContext>,
-    first_stream: OpenStream,
-    mut history: AttemptHistory,
-    chunks: Sender<ResponseChunk>,
-) {
-    let mut cursor = EventCursor::after(context.metadata.last_event_id);
-    let mut timing = StreamTiming::default();
-    let mut stream = first_stream;
+async fn forward_stream(mut forwarder: StreamForwarder, first_stream: OpenStream) {
+    let mut attempt = StreamAttempt::new(first_stream);
     loop {
-        let instance = stream.engine.selection.instance.clone();
-        let reason = match forward_events(&context, stream, &mut cursor, &mut timing, &chunks).await
-        {
-            AttemptEnd::Complete => return log_end(&context, &timing, "stream completed", false),
-            AttemptEnd::Aborted => return log_end(&context, &timing, "caller disconnected", false),
+        let instance = attempt.instance.clone();
+        let reason = match forwarder.forward_attempt(attempt).await {
+            AttemptEnd::Complete => return forwarder.log_end("stream completed", false),
+            AttemptEnd::Aborted => return forwarder.log_end("caller disconnected", false),
             AttemptEnd::DeadlineExceeded => {
-                log_end(&context, &timing, "request deadline exceeded", true);
+                forwarder.log_end("request deadline exceeded", true);
                 break;
             }
+            AttemptEnd::Replaced(next) => {
+                attempt = *next;
+                continue;
+            }
             AttemptEnd::Failed(reason) => reason,
         };
-        record_broken_connection(&context, &instance);
-        if reason == "silent" {
-            context.log_silence(&instance, context.may_retry(&history));
-            record_silence_later(&context.shared, context.witness(), instance.clone());
-        }
-        if let Some(cause) = crash_cause(reason) {
-            record_crash(&context.shared, &context.witness(), &instance, cause);
-        }
-        if !context.may_retry(&history) {
-            log_end(&context, &timing, reason, true);
-            break;
-        }
-        context.log_retry(&instance, reason);
-        cursor.start_attempt();
-        match open_stream(&context, &mut history, cursor.last_id()).await {
-            Ok(next) if next.response.http.status().is_success() => stream = next,
-            _ => {
-                log_end(
-                    &context,
-                    &timing,
-                    "stream could not be resumed on another engine",
-                    true,
-                );
-                break;
-            }
+        record_failed_attempt(&forwarder.context, &instance, reason);
+        match forwarder.resume(&instance, reason).await {
+            Some(next) => attempt = next,
+            None => break,
         }
     }
     // The caller may have disconnected.
-    let _ = chunks.send(Err(AbortedResponse)).await;
-}
-
-/// Returns why a failed attempt may be due to a crash of the engine, if it may.
-fn crash_cause(reason: &str) -> Option<&'static str> {
-    match reason {
-        "stream_cut" | "ended_mid_event" => Some("connection broke within a stream"),
-        _ => None,
-    }
-}
-
-fn record_broken_connection(context: &RequestContext, instance: &InstanceId) {
-    let mut state = context.shared.lock();
-    state
-        .fleet
-        .record_outcome(Instant::now(), instance, AttemptOutcome::ConnectionBroken);
-}
-
-fn log_end(context: &RequestContext, timing: &StreamTiming, reason: &str, failed: bool) {
-    let elapsed = context.started.elapsed().as_millis() as u64;
-    let record = context
-        .record(DecisionKind::Finish, reason)
-        .input("taken_ms", elapsed)
-        .input(
-            "first_event_ms",
-            timing.first.map(|first| first.as_millis() as u64),
-        )
-        .input("widest_gap_ms", timing.longest_gap.as_millis() as u64)
-        .input("draining", context.shared.is_draining());
-    let name = if failed { "stream_broken" } else { "stream" };
-    context
-        .shared
-        .metrics
-        .outcomes
-        .with_label_values(&[name])
-        .inc();
-    context
-        .shared
-        .log
-        .write(if failed { record.failure() } else { record });
+    let _ = forwarder.chunks.send(Err(AbortedResponse)).await;
 }
 
 /// Records a sample of the decode speed from a complete stream.
@@ -220,67 +166,181 @@
     speeds.decode.add_sample(streams, tokens, started.elapsed());
 }
 
-/// Forwards the events of one attempt until the attempt ends.
-async fn forward_events(
-    context: &RequestContext,
-    stream: OpenStream,
-    cursor: &mut EventCursor,
-    timing: &mut StreamTiming,
-    chunks: &Sender<ResponseChunk>,
-) -> AttemptEnd {
-    let OpenStream {
-        response,
-        mut in_flight,
-        engine,
-    } = stream;
-    let instance = engine.selection.instance;
-    let (_, mut body) = response.http.into_parts();
-    let mut started = None;
-    let can_resume = context.rule.kind.is_retryable();
-    loop {
-        let frame = tokio::select! {
-            frame = body.frame() => frame,
-            () = context.wait_until_unresponsive(&instance), if can_resume => return AttemptEnd::Failed("silent"),
-            never = record_silence(context, &instance), if !can_resume => match never {},
-            () = chunks.closed() => return AttemptEnd::Aborted,
-            () = sleep_until(context.deadline) => return AttemptEnd::DeadlineExceeded,
-        };
-        let data = match frame {
-            None if cursor.is_mid_event() => return AttemptEnd::Failed("ended_mid_event"),
-            None => {
-                record_decode_speed(context, &instance, started);
-                record_completed(context, response.metadata.is_framed);
-                if !response.metadata.is_framed {
-                    let cause = "connection ended with a stream of unknown length";
-                    record_crash(&context.shared, &context.witness(), &instance, cause);
+impl StreamForwarder {
+    /// Resumes the stream after a failed attempt. Returns `None` if the stream cannot go on.
+    async fn resume(&mut self, failed: &InstanceId, reason: &str) -> Option<StreamAttempt> {
+        if !self.context.may_retry(&self.history) {
+            self.log_end(reason, true);
+            return None;
+        }
+        self.context.log_retry(failed, reason);
+        self.cursor.start_attempt();
+        let last_id = self.cursor.last_id();
+        let opened = open_stream(&self.context, &mut self.history, last_id).await;
+        match opened {
+            Ok(next) if check_resumed(&next.response).is_ok() => Some(StreamAttempt::new(next)),
+            _ => {
+                self.log_end("stream could not be resumed on another engine", true);
+                None
+            }
+        }
+    }
+
+    /// Forwards the events of one attempt until the attempt ends.
+    async fn forward_attempt(&mut self, mut attempt: StreamAttempt) -> AttemptEnd {
+        let instance = attempt.instance.clone();
+        loop {
+            let received = match self.next_step(&mut attempt, &instance).await {
+                NextStep::Received(received) => received,
+                NextStep::Ended(end) => return end,
+            };
+            let bytes = match received {
+                Err(reason) => return AttemptEnd::Failed(reason),
+                Ok(None) if self.cursor.is_mid_event() => {
+                    return AttemptEnd::Failed("ended_mid_event");
+                }
+                Ok(None) => {
+                    self.finish_attempt(attempt);
+                    return AttemptEnd::Complete;
                 }
-                release_connection(&context.shared, response.connection, &response.metadata);
-                return AttemptEnd::Complete;
+                Ok(Some(bytes)) => bytes,
+            };
+            self.context.shared.record_liveness(&instance);
+            attempt.record_bytes();
+            let Ok(events) = self.cursor.push(&bytes) else {
+                return AttemptEnd::Failed("events_out_of_order");
+            };
+            if events.is_empty() {
+                continue;
             }
-            Some(Err(error)) if is_malformed(&error) => {
-                return AttemptEnd::Failed("malformed_response");
+            self.timing.record(self.context.started.elapsed());
+            let delivered = tokio::select! {
+                delivered = self.chunks.send(Ok(events)) => delivered.is_ok(),
+                () = sleep_until(self.context.deadline) => return AttemptEnd::DeadlineExceeded,
+            };
+            if !delivered {
+                return AttemptEnd::Aborted;
             }
-            Some(Err(_)) => return AttemptEnd::Failed("stream_cut"),
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-        };
-        context.shared.record_liveness(&instance);
-        if started.is_none() {
-            started = Some(Instant::now());
-            in_flight.finish_prefill();
         }
-        let Ok(events) = cursor.push(&data) else {
-            return AttemptEnd::Failed("events_out_of_order");
-        };
-        if events.is_empty() {
-            continue;
+    }
+
+    /// Waits for the next bytes of an attempt. Silence of the engine is no reason to end the stream,
+    /// only to open another attempt beside it.
+    async fn next_step(&mut self, attempt: &mut StreamAttempt, instance: &InstanceId) -> NextStep {
+        let can_resume = self.context.rule.kind.is_retryable();
+        let mut is_noted = false;
+        loop {
+            let context = &self.context;
+            tokio::select! {
+                received = attempt.next_bytes() => return NextStep::Received(received),
+                () = context.wait_until_unresponsive(instance), if can_resume => {}
+                never = record_silence(context, instance), if !can_resume => match never {},
+                () = self.chunks.closed() => return NextStep::Ended(AttemptEnd::Aborted),
+                () = sleep_until(context.deadline) => {
+                    return NextStep::Ended(AttemptEnd::DeadlineExceeded);
+                }
+            }
+            let may_retry = context.may_retry(&self.history);
+            if !is_noted {
+                is_noted = true;
+                context.log_silence(instance, may_retry);
+                record_silence_later(&context.shared, context.witness(), instance.clone());
+            }
+            if may_retry && let Some(step) = self.race_standby(attempt).await {
+                return step;
+            }
         }
-        timing.record(context.started.elapsed());
-        let delivered = tokio::select! {
-            delivered = chunks.send(Ok(events)) => delivered.is_ok(),
-            () = sleep_until(context.deadline) => return AttemptEnd::DeadlineExceeded,
+    }
+
+    /// Opens another attempt while a silent engine may still go on, and continues with the one that
+    /// sends first. Returns `None` if the other attempt fails before the silence ends.
+    async fn race_standby(&mut self, attempt: &mut StreamAttempt) -> Option<NextStep> {
+        let Self {
+            context,
+            chunks,
+            history,
+            cursor,
+            ..
+        } = self;
+        let mut failure = None;
+        let standby = {
+            let standby = open_standby(context, history, cursor.last_id());
+            tokio::pin!(standby);
+            loop {
+                tokio::select! {
+                    received = attempt.next_bytes(), if failure.is_none() => match received {
+                        Err(reason) => failure = Some(reason),
+                        Ok(None) if cursor.is_mid_event() => failure = Some("ended_mid_event"),
+                        received => break Err(NextStep::Received(received)),
+                    },
+                    standby = &mut standby => break Ok(standby),
+                    () = chunks.closed() => break Err(NextStep::Ended(AttemptEnd::Aborted)),
+                    () = sleep_until(context.deadline) => {
+                        break Err(NextStep::Ended(AttemptEnd::DeadlineExceeded));
+                    }
+                }
+            }
         };
-        if !delivered {
-            return AttemptEnd::Aborted;
+        match standby {
+            Ok(Ok(next)) => {
+                let reason = failure.unwrap_or("silent");
+                self.replace_attempt(attempt, &next, reason);
+                Some(NextStep::Ended(AttemptEnd::Replaced(Box::new(next))))
+            }
+            Ok(Err(reason)) => {
+                let instance = &attempt.instance;
+                self.context.log_standby(instance, "failed", reason);
+                failure.map(|reason| NextStep::Received(Err(reason)))
+            }
+            Err(step) => {
+                // The engine of the other attempt may have started to process the request.
+                self.history.maybe_processed += 1;
+                let instance = &attempt.instance;
+                self.context
+                    .log_standby(instance, "given_up", "stream went on or ended");
+                Some(step)
+            }
+        }
+    }
+
+    fn replace_attempt(&mut self, attempt: &StreamAttempt, next: &StreamAttempt, reason: &str) {
+        record_failed_attempt(&self.context, &attempt.instance, reason);
+        self.context.log_standby(&next.instance, "used", reason);
+        self.cursor.start_attempt();
+    }
+
+    fn finish_attempt(&self, attempt: StreamAttempt) {
+        let context = &self.context;
+        record_decode_speed(context, &attempt.instance, attempt.started);
+        record_completed(context, attempt.metadata.is_framed);
+        if !attempt.metadata.is_framed {
+            let cause = "connection ended with a stream of unknown length";
+            record_crash(
+                &context.shared,
+                &context.witness(),
+                &attempt.instance,
+                cause,
+            );
         }
+        release_connection(&context.shared, attempt.connection, &attempt.metadata);
+    }
+
+    fn log_end(&self, reason: &str, failed: bool) {
+        let (context, timing) = (&self.context, &self.timing);
+        let elapsed = context.started.elapsed().as_millis() as u64;
+        let record = context
+            .record(DecisionKind::Finish, reason)
+            .input("taken_ms", elapsed)
+            .input(
+                "first_event_ms",
+                timing.first.map(|first| first.as_millis() as u64),
+            )
+            .input("widest_gap_ms", timing.longest_gap.as_millis() as u64)
+            .input("draining", context.shared.is_draining());
+        let name = if failed { "stream_broken" } else { "stream" };
+        let outcomes = &context.shared.metrics.outcomes;
+        outcomes.with_label_values(&[name]).inc();
+        let record = if failed { record.failure() } else { record };
+        context.shared.log.write(record);
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     pub(crate) refusals: IntCounterVec,
     pub(crate) attempts: IntCounterVec,
     pub(crate) retries: IntCounter,
+    pub(crate) standbys: IntCounterVec,
     pub(crate) connections: IntCounter,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) crash_evidence: IntCounterVec,
@@ -33,6 +34,7 @@
         let set = MetricSet::new("gateway");
         let outcomes_help = "Requests by how they ended";
         let evidence_help = "Evidence that requests crash backend servers, by source";
+        let standbys_help = "Attempts beside streams whose engines were silent";
         let verdicts_help = "Verdicts on requests suspected of crashing backend servers";
         Self {
             requests: set.counter_vec("requests_total", "Requests by kind", "kind"),
@@ -40,6 +42,7 @@
             refusals: set.counter_vec("refusals_total", "Requests refused by reason", "reason"),
             attempts: set.counter_vec("sends_total", "Sends by how they ended", "outcome"),
             retries: set.counter("repeats_total", "Sends beyond a request's first"),
+            standbys: set.counter_vec("standbys_total", standbys_help, "outcome"),
             connections: set.counter("channels_total", "Connections opened to backend servers"),
             store_calls: set.counter_vec("store_calls_total", "Calls of the store", "outcome"),
             crash_evidence: set.counter_vec("crash_evidence_total", evidence_help, "source"),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -187,6 +187,19 @@
         self.shared.log.write(record);
     }
 
+    /// Logs what became of an attempt beside a silent stream.
+    pub(crate) fn log_standby(&self, instance: &InstanceId, outcome: &str, cause: &str) {
+        let metrics = &self.shared.metrics;
+        metrics.standbys.with_label_values(&[outcome]).inc();
+        let record = self
+            .record(DecisionKind::Retry, "attempt beside a silent stream ended")
+            .chosen(instance)
+            .input("outcome", outcome)
+            .input("cause", cause)
+            .input("left_ms", self.time_left_ms());
+        self.shared.log.write(record);
+    }
+
     /// Logs a backend selection with the scores of the candidates.
     pub(crate) fn log_selection(&self, selection: &BackendSelection, reason: &str) {
         let scores = selection.considered.iter();
--- /dev/null
+++ b/crates/gateway/src/stream_attempt.rs
@@ -0,0 +1,91 @@
+//! One attempt of a stream whose response head has arrived.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use platform::ResponseMetadata;
+use policy::AttemptOutcome;
+use tokio::time::Instant;
+use units::InstanceId;
+use web::{
+    ClientConnection,
+    is_malformed, //
+};
+
+use crate::crash_suspects::record_crash;
+use crate::generation::OpenStream;
+use crate::in_flight::InFlightGuard;
+use crate::request::RequestContext;
+
+/// Body of one attempt, with the load that the attempt puts on its engine.
+pub(crate) struct StreamAttempt {
+    pub(crate) instance: InstanceId,
+    pub(crate) metadata: ResponseMetadata,
+    pub(crate) connection: ClientConnection,
+    body: Incoming,
+    in_flight: InFlightGuard,
+    /// Bytes that were read to find out whether the engine sends.
+    first_bytes: Option<Bytes>,
+    /// When the first bytes arrived.
+    pub(crate) started: Option<Instant>,
+}
+
+impl StreamAttempt {
+    pub(crate) fn new(stream: OpenStream) -> Self {
+        Self {
+            instance: stream.engine.selection.instance,
+            metadata: stream.response.metadata,
+            connection: stream.response.connection,
+            body: stream.response.http.into_body(),
+            in_flight: stream.in_flight,
+            first_bytes: None,
+            started: None,
+        }
+    }
+
+    /// Returns the next bytes, `None` at the end of the body, or why the body ended early. Nothing is
+    /// lost if the future is dropped.
+    pub(crate) async fn next_bytes(&mut self) -> Result<Option<Bytes>, &'static str> {
+        if let Some(bytes) = self.first_bytes.take() {
+            return Ok(Some(bytes));
+        }
+        match self.body.frame().await {
+            None => Ok(None),
+            Some(Err(error)) if is_malformed(&error) => Err("malformed_response"),
+            Some(Err(_)) => Err("stream_cut"),
+            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+        }
+    }
+
+    /// Waits until the engine sends, or has ended a body of known length.
+    pub(crate) async fn wait_until_sending(&mut self) -> Result<(), &'static str> {
+        self.first_bytes = self.next_bytes().await?;
+        if self.first_bytes.is_none() && !self.metadata.is_framed {
+            return Err("stream_cut");
+        }
+        Ok(())
+    }
+
+    /// Records that bytes have arrived.
+    pub(crate) fn record_bytes(&mut self) {
+        if self.started.is_none() {
+            self.started = Some(Instant::now());
+            self.in_flight.finish_prefill();
+        }
+    }
+}
+
+/// Records that the stream of an attempt ended early or was given up for another one.
+pub(crate) fn record_failed_attempt(context: &RequestContext, instance: &InstanceId, reason: &str) {
+    let outcome = AttemptOutcome::ConnectionBroken;
+    let mut state = context.shared.lock();
+    state
+        .fleet
+        .record_outcome(Instant::now(), instance, outcome);
+    drop(state);
+    // After other failures the engine is known to live.
+    if matches!(reason, "stream_cut" | "ended_mid_event") {
+        let cause = "connection broke within a stream";
+        record_crash(&context.shared, &context.witness(), instance, cause);
+    }
+}
