gateway: answers to callers are HTTP/1.1 whatever their server speaks

Callers saw: a stream that ends inside an event looked complete. Its server spoke HTTP/1.0 and ended the stream with its connection; the gateway handed the version on, so that the answer had neither length nor chunks, and breaking it off could not be told from its end.

Evidence: unframed_stream_cut_within_event, red before (the caller saw three events and a clean end), green now.

Change: the version of an answer is set where it leaves the gateway. An answer in chunks that is broken off lacks its last chunk.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,8 @@
 use hyper::http::request::Parts;
 use hyper::{
     Request,
-    Response, //
+    Response,
+    Version, //
 };
 use logs::{
     DecisionKind,
@@ -68,6 +69,8 @@
         log_request_error(&shared, &id, error, started);
         error.response()
     });
+    // In the version of a server that speaks HTTP/1.0, a body that ends early would look complete.
+    *response.version_mut() = Version::HTTP_11;
     close_while_draining(&shared, &mut response);
     response
 }
