gateway: the end of a response of unknown length is no evidence of a crash by itself

Callers saw: the same request, answered several times by servers that live, was refused as a crash suspect (503 kept_out) if its answers had neither a length nor chunks and its servers were too busy for a probe.

Cause: the end of a connection is the regular end of such a response, but was recorded as a presumed crash of the server, and such a response never cleared its request.

Evidence: unframed_responses_of_busy_engines fails on the code before (503 at the fourth request), green now; crashes_within_unframed_stream, where servers do end so, stays green.

Change: after such an end the server is probed at once, and again some time later unless it shows life by other responses. It is evidence only if the process has ended: nothing listens, or another process does. A server that lives clears the request; one that does not answer says nothing.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -87,7 +87,7 @@
 }
 
 /// Returns the path of the health check of a plain service, or `None` for an engine.
-fn health_path(state: &GatewayState, record: &BackendRecord) -> Option<String> {
+pub(crate) fn health_path(state: &GatewayState, record: &BackendRecord) -> Option<String> {
     if record.stage.is_some() {
         return None;
     }
--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -203,12 +203,8 @@
     shared.log.write(record);
 }
 
-/// Clears a request of suspicion after a complete run. The end of an unframed body does not show that
-/// the server lives.
-pub(crate) fn record_completed(context: &RequestContext, is_framed: bool) {
-    if !is_framed {
-        return;
-    }
+/// Clears a request of suspicion after a complete run.
+pub(crate) fn record_completed(context: &RequestContext) {
     let fingerprint = context.fingerprint;
     let mut guard = context.shared.lock();
     let state = &mut *guard;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,11 +22,7 @@
     abortable_body, //
 };
 
-use crate::crash_suspects::{
-    record_completed,
-    record_crash,
-    record_silence_later, //
-};
+use crate::crash_suspects::record_silence_later;
 use crate::generation::{
     OpenStream,
     open_stream, //
@@ -49,6 +45,7 @@
     record_failed_attempt, //
 };
 use crate::stream_timing::StreamTiming;
+use crate::unframed_end::record_response_end;
 
 /// Number of chunks buffered for a slow caller.
 const CHUNK_QUEUE_LENGTH: usize = 8;
@@ -312,16 +309,8 @@
     fn finish_attempt(&self, attempt: StreamAttempt) {
         let context = &self.context;
         record_decode_speed(context, &attempt.instance, attempt.started);
-        record_completed(context, attempt.metadata.is_framed);
-        if !attempt.metadata.is_framed {
-            let cause = "connection ended with a stream of unknown length";
-            record_crash(
-                &context.shared,
-                &context.witness(),
-                &attempt.instance,
-                cause,
-            );
-        }
+        let is_framed = attempt.metadata.is_framed;
+        record_response_end(context, &attempt.instance, is_framed, true);
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
     }
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -41,6 +41,7 @@
     start_attempt, //
 };
 use crate::shared::GatewayState;
+use crate::unframed_end::record_response_end;
 
 /// Number of prefill-only attempts before the decode engine prefills the prompt inline.
 const MAX_PREFILL_ATTEMPTS: u32 = 2;
@@ -296,6 +297,8 @@
     let response = start_attempt(context, engine.address, &metadata).await?;
     let response = read_response(context, instance, response).await?;
     drop(in_flight);
+    // A prefill does not run the request, so that its success does not clear it.
+    record_response_end(context, instance, response.metadata.is_framed, false);
     let elapsed = started.elapsed();
     let latencies = &context.shared.metrics.latencies;
     latencies.observe_stage(ServerStage::Prefill, instance, elapsed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod suspect_record;
 mod suspect_report;
 mod suspect_store;
+mod unframed_end;
 
 pub use daemon::GatewayDaemon;
 pub use error::GatewayError;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,6 +1,7 @@
 //! Requests to plain services.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use hyper::Response;
 use logs::DecisionKind;
@@ -21,10 +22,7 @@
     AttemptError,
     CompleteResponse, //
 };
-use crate::crash_suspects::{
-    check_suspect,
-    record_completed, //
-};
+use crate::crash_suspects::check_suspect;
 use crate::in_flight::InFlightGuard;
 use crate::latency::ServerStage;
 use crate::request::{
@@ -38,10 +36,11 @@
     read_response,
     start_attempt, //
 };
+use crate::unframed_end::record_response_end;
 
 /// Serves a request whose response is read completely before it is forwarded.
 pub(crate) async fn serve_plain(
-    context: &RequestContext,
+    context: &Arc<RequestContext>,
 ) -> Result<Response<ResponseBody>, RequestError> {
     let mut history = AttemptHistory::default();
     loop {
@@ -80,9 +79,14 @@
                 let latencies = &context.shared.metrics.latencies;
                 latencies.observe_stage(ServerStage::Plain, &instance, elapsed);
                 latencies.observe_answer(&context.rule, context.started.elapsed());
-                if response.http.status().is_success() && response.metadata.is_signed {
-                    record_completed(context, response.metadata.is_framed);
-                }
+                let is_success = response.http.status().is_success();
+                let is_framed = response.metadata.is_framed;
+                record_response_end(
+                    context,
+                    &instance,
+                    is_framed,
+                    is_success && response.metadata.is_signed,
+                );
                 log_response(context, &instance, &response);
                 return into_caller_response(response);
             }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -289,10 +289,6 @@
         }
         Ok(bytes) => bytes,
     };
-    if !response.metadata.is_framed {
-        let cause = "connection ended with a response body of unknown length";
-        record_crash(&context.shared, &context.witness(), instance, cause);
-    }
     release_connection(&context.shared, response.connection, &response.metadata);
     Ok(CompleteResponse {
         http: Response::from_parts(head, bytes),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -198,6 +198,14 @@
         view.is_some_and(|view| view.is_unresponsive(Instant::now()))
     }
 
+    /// Returns whether a backend server has shown a liveness signal since a point in time.
+    pub(crate) fn has_shown_liveness(&self, instance: &InstanceId, since: Instant) -> bool {
+        let state = self.lock();
+        let view = state.fleet.get(instance);
+        let silent_time = view.and_then(|view| view.silent_time(Instant::now()));
+        silent_time.is_some_and(|time| time <= since.elapsed())
+    }
+
     /// Applies the settings that may change while the gateway runs.
     pub(crate) fn apply_settings(&self, settings: &GatewaySettings) {
         let mut state = self.lock();
