web: a response that its caller still reads is not idle

Callers saw: an answer that they read slowly was cut in the middle, with no line about it, when the idle timeout ended; a version of the configuration that lowers it makes this likely. 3825687 of 6291455 bytes arrived.

Cause: a connection counted as idle from the moment at which the body was handed to the HTTP library, with what was buffered still to be sent; the timer then closed it, and the shutdown after it was bound by the same, past, deadline.

Change: the connection's stream reports writes. The idle timeout runs from the last byte that the peer took, and not at all while it takes none; a peer that takes no byte for 15 s is disconnected (serve_connection_peer_reads_nothing), where the idle timeout did so before.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -121,7 +121,8 @@
     let read_budget = budget.clone();
     let stream = ObservedStream {
         stream,
-        observe: move |bytes| read_budget.charge(bytes),
+        observe_read: move |bytes| read_budget.charge(bytes),
+        observe_write: |_| (),
     };
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
--- a/crates/web/src/connection_state.rs
+++ b/crates/web/src/connection_state.rs
@@ -10,6 +10,7 @@
     Context,
     Poll, //
 };
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{
@@ -35,9 +36,19 @@
     Serving,
 }
 
+/// Time for which a peer may take no byte of a response.
+const STALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+#[derive(Debug)]
+struct PhaseRecord {
+    phase: HttpPhase,
+    /// Since when the peer has taken no byte of what is to be sent.
+    stalled_since: Option<Instant>,
+}
+
 /// Phase of a connection, shared by its stream and its response bodies.
 #[derive(Debug, Clone)]
-pub(crate) struct ConnectionState(Arc<Mutex<HttpPhase>>);
+pub(crate) struct ConnectionState(Arc<Mutex<PhaseRecord>>);
 
 /// Timeout that closed a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,41 +57,67 @@
     Idle,
     /// A request header was incomplete at the header timeout.
     Header,
+    /// The peer took no byte of a response for too long.
+    Stalled,
 }
 
 impl ConnectionState {
     /// Creates the state of a connection that was just accepted.
     pub(crate) fn new_idle() -> Self {
-        Self(Arc::new(Mutex::new(HttpPhase::Idle(Instant::now()))))
+        Self(Arc::new(Mutex::new(PhaseRecord {
+            phase: HttpPhase::Idle(Instant::now()),
+            stalled_since: None,
+        })))
     }
 
-    fn lock(&self) -> MutexGuard<'_, HttpPhase> {
+    fn lock(&self) -> MutexGuard<'_, PhaseRecord> {
         self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     /// Records that a complete request header has arrived.
     pub(crate) fn start_request(&self) {
-        *self.lock() = HttpPhase::Serving;
+        self.lock().phase = HttpPhase::Serving;
     }
 
     fn end_request(&self) {
-        *self.lock() = HttpPhase::Idle(Instant::now());
+        self.lock().phase = HttpPhase::Idle(Instant::now());
     }
 
-    pub(crate) fn record_bytes(&self) {
-        let mut phase = self.lock();
+    pub(crate) fn record_read(&self) {
+        let phase = &mut self.lock().phase;
         if matches!(*phase, HttpPhase::Idle(_)) {
             *phase = HttpPhase::Header(Instant::now());
         }
     }
 
+    /// Records a write, or `None` if the peer takes no bytes at the moment. The end of a response may
+    /// still be on its way when its body has been handed over, so each write restarts the idle timeout.
+    pub(crate) fn record_write(&self, written: Option<usize>) {
+        let now = Instant::now();
+        let mut record = self.lock();
+        if written.is_none() {
+            record.stalled_since.get_or_insert(now);
+            return;
+        }
+        record.stalled_since = None;
+        if let HttpPhase::Idle(since) = &mut record.phase {
+            *since = now;
+        }
+    }
+
     /// Returns when the current phase times out and by which timeout; `None` while a request is
     /// served.
     pub(crate) fn deadline(&self, limits: ConnectionLimits) -> Option<(Instant, TimeoutKind)> {
-        match *self.lock() {
-            HttpPhase::Idle(since) => Some((since + limits.idle_timeout, TimeoutKind::Idle)),
-            HttpPhase::Header(since) => Some((since + limits.header_timeout, TimeoutKind::Header)),
-            HttpPhase::Serving => None,
+        let record = self.lock();
+        match (record.phase, record.stalled_since) {
+            (HttpPhase::Serving, _) => None,
+            (_, Some(since)) => Some((since + STALL_TIMEOUT, TimeoutKind::Stalled)),
+            (HttpPhase::Idle(since), None) => {
+                Some((since + limits.idle_timeout, TimeoutKind::Idle))
+            }
+            (HttpPhase::Header(since), None) => {
+                Some((since + limits.header_timeout, TimeoutKind::Header))
+            }
         }
     }
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -148,15 +148,16 @@
             Ok::<_, Infallible>(response.map(|body| TrackedBody { body, state }))
         }
     });
-    let stream_state = state.clone();
+    let (read_state, write_state) = (state.clone(), state.clone());
     let stream = ObservedStream {
         stream,
-        observe: move |bytes| {
+        observe_read: move |bytes| {
             if bytes > 0 {
-                stream_state.record_bytes();
+                read_state.record_read();
             }
             Ok(())
         },
+        observe_write: move |written| write_state.record_write(written),
     };
     let buffer_bytes = limits
         .borrow()
