web: a stop lets new connections and arriving headers finish

Callers saw: a connection closed without a word if they sent the first request on a new connection, or the second half of a header, around the moment at which the gateway stops accepting work.

Cause: the shutdown closes a connection at once on which nothing has been read or whose last response is over; what has been read of a header was dropped with it. Connections accepted during the shutdown met the same, although they are meant to get one response.

Change: a new connection has 500 ms for its first request, and a header that is arriving may complete within its timeout; the response then closes the connection. serve_connection_unused_after_stop bounds the wait. An idle connection is closed at once as before: a request that crosses the close has not been read.

--- a/crates/web/src/connection_state.rs
+++ b/crates/web/src/connection_state.rs
@@ -28,6 +28,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HttpPhase {
+    /// Waiting since then for the first byte of the first request.
+    New(Instant),
     /// Waiting since then for the first byte of the next request.
     Idle(Instant),
     /// Receiving a request header since then.
@@ -39,6 +41,9 @@
 /// Time for which a peer may take no byte of a response.
 const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time for the first request on a new connection during a shutdown.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 #[derive(Debug)]
 struct PhaseRecord {
     phase: HttpPhase,
@@ -63,9 +68,9 @@
 
 impl ConnectionState {
     /// Creates the state of a connection that was just accepted.
-    pub(crate) fn new_idle() -> Self {
+    pub(crate) fn new() -> Self {
         Self(Arc::new(Mutex::new(PhaseRecord {
-            phase: HttpPhase::Idle(Instant::now()),
+            phase: HttpPhase::New(Instant::now()),
             stalled_since: None,
         })))
     }
@@ -85,7 +90,7 @@
 
     pub(crate) fn record_read(&self) {
         let phase = &mut self.lock().phase;
-        if matches!(*phase, HttpPhase::Idle(_)) {
+        if matches!(*phase, HttpPhase::New(_) | HttpPhase::Idle(_)) {
             *phase = HttpPhase::Header(Instant::now());
         }
     }
@@ -105,6 +110,16 @@
         }
     }
 
+    /// Returns whether the connection may be closed, or will be after the response in progress, without
+    /// losing a request that is on its way on a new connection or whose header is arriving.
+    pub(crate) fn can_shut_down(&self) -> bool {
+        match self.lock().phase {
+            HttpPhase::New(since) => since.elapsed() >= FIRST_REQUEST_TIME,
+            HttpPhase::Header(_) => false,
+            HttpPhase::Idle(_) | HttpPhase::Serving => true,
+        }
+    }
+
     /// Returns when the current phase times out and by which timeout; `None` while a request is
     /// served.
     pub(crate) fn deadline(&self, limits: ConnectionLimits) -> Option<(Instant, TimeoutKind)> {
@@ -112,7 +127,7 @@
         match (record.phase, record.stalled_since) {
             (HttpPhase::Serving, _) => None,
             (_, Some(since)) => Some((since + STALL_TIMEOUT, TimeoutKind::Stalled)),
-            (HttpPhase::Idle(since), None) => {
+            (HttpPhase::New(since) | HttpPhase::Idle(since), None) => {
                 Some((since + limits.idle_timeout, TimeoutKind::Idle))
             }
             (HttpPhase::Header(since), None) => {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -53,6 +53,8 @@
 /// Interval at which the timer of a connection fires while a request is served. The end of the
 /// response resets the timer.
 const SERVING_TIMER_INTERVAL: Duration = Duration::from_secs(60);
+/// Interval between checks whether a connection can be shut down.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Read buffer space beyond the header limit. With it, the handler receives a request whose header
 /// is slightly over the limit and can refuse the request itself; without it, the HTTP parser would
 /// reject the request first.
@@ -138,7 +140,7 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let state = ConnectionState::new_idle();
+    let state = ConnectionState::new();
     let request_state = state.clone();
     let service = service_fn(move |request| {
         request_state.start_request();
@@ -169,7 +171,7 @@
     tokio::pin!(connection);
     let timeout = tokio::select! {
         timeout = drive_connection(connection.as_mut(), &state, &limits) => timeout,
-        _ = stop.wait_for(|is_stopping| *is_stopping) => Some(TimeoutKind::Idle),
+        () = wait_for_shutdown(&mut stop, &state) => Some(TimeoutKind::Idle),
     };
     if timeout == Some(TimeoutKind::Idle) {
         connection.as_mut().graceful_shutdown();
@@ -178,6 +180,15 @@
     }
 }
 
+/// Waits until the server stops and the connection can be shut down.
+async fn wait_for_shutdown(stop: &mut watch::Receiver<bool>, state: &ConnectionState) {
+    // A dropped sender stops the server too.
+    let _ = stop.wait_for(|is_stopping| *is_stopping).await;
+    while !state.can_shut_down() {
+        sleep(SHUTDOWN_CHECK_INTERVAL).await;
+    }
+}
+
 /// Drives a connection until it closes, then returns `None`, or until the peer exceeds a timeout.
 async fn drive_connection<C: Future>(
     mut connection: Pin<&mut C>,
--- a/crates/web/tests/connection_timeouts.rs
+++ b/crates/web/tests/connection_timeouts.rs
@@ -166,3 +166,47 @@
     server.serving.await.unwrap();
     assert_eq!(began.elapsed().as_secs(), 40 + 15);
 }
+
+/// Guards against a request that is lost because the server stops while its header arrives.
+#[tokio::test(start_paused = true)]
+async fn serve_connection_stops_amid_header() {
+    let mut server = start_server();
+    for is_first in [true, false] {
+        server.peer.write_all(&HEADER[..9]).await.unwrap();
+        sleep(Duration::from_secs(1)).await;
+        if !is_first {
+            server.stop.send_replace(true);
+            sleep(Duration::from_secs(1)).await;
+        }
+        server.peer.write_all(&HEADER[9..]).await.unwrap();
+        let response = read_response(&mut server.peer).await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+    server.serving.await.unwrap();
+}
+
+/// Guards against a request that is lost because its connection was accepted during the shutdown.
+#[tokio::test(start_paused = true)]
+async fn serve_connection_accepted_after_stop() {
+    let mut server = start_server();
+    server.stop.send_replace(true);
+    sleep(Duration::from_millis(100)).await;
+    server.peer.write_all(HEADER).await.unwrap();
+    let response = read_response(&mut server.peer).await;
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(
+        response.to_ascii_lowercase().contains("connection: close"),
+        "{response}"
+    );
+    server.serving.await.unwrap();
+}
+
+/// A connection without a request must not hold up the shutdown.
+#[tokio::test(start_paused = true)]
+async fn serve_connection_unused_after_stop() {
+    let server = start_server();
+    server.stop.send_replace(true);
+    let began = Instant::now();
+    server.serving.await.unwrap();
+    assert!(began.elapsed() < Duration::from_secs(1));
+}
