gateway: an engine's error response is handed on once it is complete

Callers saw: an answer with an error status whose body breaks off or never ends, without a deadline and without a line about its end, where an engine failed within its error response.

Cause: error responses of engines were passed through byte by byte, outside of the path that knows the deadline.

Change: such a response is read to its end within the deadline, as those of plain services are; otherwise the caller gets the gateway's 502 or 504. The end is logged by the path that logs all refusals.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
 use logs::DecisionKind;
 use platform::strip_hop_by_hop_headers;
 use policy::EventCursor;
@@ -22,6 +20,7 @@
     abortable_body, //
 };
 
+use crate::attempt::AttemptError;
 use crate::crash_suspects::record_silence_later;
 use crate::generation::{
     OpenStream,
@@ -33,6 +32,8 @@
 };
 use crate::request_error::RequestError;
 use crate::send::{
+    into_caller_response,
+    read_response,
     record_silence,
     release_connection, //
 };
@@ -82,14 +83,14 @@
 }
 
 /// Returns the head of a stream as the response, and forwards the events in a background task.
-pub(crate) fn start_forwarding(
+pub(crate) async fn start_forwarding(
     context: Arc<RequestContext>,
     mut stream: OpenStream,
     history: AttemptHistory,
-) -> Response<ResponseBody> {
+) -> Result<Response<ResponseBody>, RequestError> {
     let is_success = stream.response.http.status().is_success();
     if !is_success || !stream.response.metadata.is_signed {
-        return forward_error(&context, stream.response.http);
+        return forward_error(&context, stream).await;
     }
     let (mut head, body) = stream.response.http.into_parts();
     stream.response.http = Response::new(body);
@@ -103,24 +104,31 @@
         history,
     };
     tokio::spawn(forward_stream(forwarder, stream));
-    Response::from_parts(head, response_body)
+    Ok(Response::from_parts(head, response_body))
 }
 
-/// Forwards an error response of an engine, or replaces an unsigned success response by an error of
-/// the gateway.
-fn forward_error(context: &RequestContext, response: Response<Incoming>) -> Response<ResponseBody> {
-    let (mut head, body) = response.into_parts();
+/// Forwards an error response of an engine once it has arrived completely, so that the caller gets a
+/// whole answer or an error of the gateway. Replaces an unsigned success response by an error.
+async fn forward_error(
+    context: &RequestContext,
+    stream: OpenStream,
+) -> Result<Response<ResponseBody>, RequestError> {
+    let status = stream.response.http.status();
     let record = context.record(
         DecisionKind::Finish,
         "engine returned an error status or an unsigned response",
     );
-    let record = record.input("status", head.status.as_u16()).failure();
+    let record = record.input("status", status.as_u16()).failure();
     context.shared.log.write(record);
-    if head.status.is_success() {
-        return RequestError::Unsure("answer_unsigned").response();
+    if status.is_success() {
+        return Err(RequestError::Unsure("answer_unsigned"));
+    }
+    let instance = &stream.engine.selection.instance;
+    match read_response(context, instance, stream.response).await {
+        Ok(response) => Ok(into_caller_response(response)),
+        Err(AttemptError::DeadlineExceeded) => Err(RequestError::DeadlineExceeded),
+        Err(error) => Err(RequestError::Unsure(error.as_str())),
     }
-    strip_hop_by_hop_headers(&mut head.headers);
-    Response::from_parts(head, body.map_err(|_| AbortedResponse).boxed_unsync())
 }
 
 /// Forwards a stream until it is complete. After a failure, resumes the stream on another engine if
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -75,7 +75,7 @@
         .metrics
         .latencies
         .observe_answer(&context.rule, elapsed);
-    Ok(start_forwarding(context, stream, history))
+    start_forwarding(context, stream, history).await
 }
 
 /// Prefills the prompt where it is expected to finish first, and opens the stream on a decode
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -5,7 +5,6 @@
 
 use hyper::Response;
 use logs::DecisionKind;
-use platform::strip_hop_by_hop_headers;
 use policy::{
     BackendLoad,
     BackendSelection,
@@ -13,10 +12,7 @@
 };
 use tokio::time::Instant;
 use units::InstanceId;
-use web::{
-    ResponseBody,
-    bytes_body, //
-};
+use web::ResponseBody;
 
 use crate::attempt::{
     AttemptError,
@@ -33,6 +29,7 @@
 };
 use crate::request_error::RequestError;
 use crate::send::{
+    into_caller_response,
     read_response,
     start_attempt, //
 };
@@ -88,7 +85,10 @@
                     is_success && response.metadata.is_signed,
                 );
                 log_response(context, &instance, &response);
-                return into_caller_response(response);
+                if is_success && !response.metadata.is_signed {
+                    return Err(RequestError::Unsure("answer_unsigned"));
+                }
+                return Ok(into_caller_response(response));
             }
             Err(AttemptError::Unreachable) => {
                 history.unreachable += 1;
@@ -172,17 +172,3 @@
         .log
         .write(if failed { record.failure() } else { record });
 }
-
-/// Returns the response for the caller. An unsigned success response becomes an error, since it may
-/// not come from a backend server.
-fn into_caller_response(
-    response: CompleteResponse,
-) -> Result<Response<ResponseBody>, RequestError> {
-    let status = response.http.status();
-    if status.is_success() && !response.metadata.is_signed {
-        return Err(RequestError::Unsure("answer_unsigned"));
-    }
-    let (mut head, body) = response.http.into_parts();
-    strip_hop_by_hop_headers(&mut head.headers);
-    Ok(Response::from_parts(head, bytes_body(body)))
-}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -19,7 +19,8 @@
 use logs::DecisionKind;
 use platform::{
     AttemptMetadata,
-    ResponseMetadata, //
+    ResponseMetadata,
+    strip_hop_by_hop_headers, //
 };
 use policy::AttemptOutcome;
 use tokio::time::{
@@ -29,8 +30,10 @@
 use units::InstanceId;
 use web::{
     ClientConnection,
+    ResponseBody,
     SendFailure,
     WebError,
+    bytes_body,
     read_body, //
 };
 
@@ -295,3 +298,10 @@
         metadata: response.metadata,
     })
 }
+
+/// Returns a complete response of a backend server as the response for the caller.
+pub(crate) fn into_caller_response(response: CompleteResponse) -> Response<ResponseBody> {
+    let (mut head, body) = response.http.into_parts();
+    strip_hop_by_hop_headers(&mut head.headers);
+    Response::from_parts(head, bytes_body(body))
+}
