web: a response body whose sender is lost is aborted

Cause: the end of a channel ended the body, so that a forwarding task that is lost by a panic or dropped would have made a part of an answer look complete.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,16 +7,14 @@
 use logs::DecisionKind;
 use platform::strip_hop_by_hop_headers;
 use policy::EventCursor;
-use tokio::sync::mpsc::Sender;
 use tokio::time::{
     Instant,
     sleep_until, //
 };
 use units::InstanceId;
 use web::{
-    AbortedResponse,
+    BodySender,
     ResponseBody,
-    ResponseChunk,
     abortable_body, //
 };
 
@@ -76,7 +74,7 @@
 /// State of a stream across its attempts.
 struct StreamForwarder {
     context: Arc<RequestContext>,
-    chunks: Sender<ResponseChunk>,
+    chunks: BodySender,
     history: AttemptHistory,
     cursor: EventCursor,
     timing: StreamTiming,
@@ -132,17 +130,19 @@
 }
 
 /// Forwards a stream until it is complete. After a failure, resumes the stream on another engine if
-/// the request may be retried.
+/// the request may be retried; otherwise the response is aborted.
 async fn forward_stream(mut forwarder: StreamForwarder, first_stream: OpenStream) {
     let mut attempt = StreamAttempt::new(first_stream);
     loop {
         let instance = attempt.instance.clone();
         let reason = match forwarder.forward_attempt(attempt).await {
-            AttemptEnd::Complete => return forwarder.log_end("stream completed", false),
+            AttemptEnd::Complete => {
+                forwarder.log_end("stream completed", false);
+                return forwarder.chunks.finish().await;
+            }
             AttemptEnd::Aborted => return forwarder.log_end("caller disconnected", false),
             AttemptEnd::DeadlineExceeded => {
-                forwarder.log_end("request deadline exceeded", true);
-                break;
+                return forwarder.log_end("request deadline exceeded", true);
             }
             AttemptEnd::Replaced(next) => {
                 attempt = *next;
@@ -153,11 +153,9 @@
         record_failed_attempt(&forwarder.context, &instance, reason);
         match forwarder.resume(&instance, reason).await {
             Some(next) => attempt = next,
-            None => break,
+            None => return,
         }
     }
-    // The caller may have disconnected.
-    let _ = forwarder.chunks.send(Err(AbortedResponse)).await;
 }
 
 /// Records a sample of the decode speed from a complete stream.
@@ -220,7 +218,7 @@
             }
             self.timing.record(self.context.started.elapsed());
             let delivered = tokio::select! {
-                delivered = self.chunks.send(Ok(events)) => delivered.is_ok(),
+                delivered = self.chunks.send(events) => delivered,
                 () = sleep_until(self.context.deadline) => return AttemptEnd::DeadlineExceeded,
             };
             if !delivered {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -3,7 +3,8 @@
 use std::pin::Pin;
 use std::task::{
     Context,
-    Poll, //
+    Poll,
+    ready, //
 };
 use std::time::Duration;
 
@@ -62,33 +63,63 @@
 /// Creates a body whose chunks are sent through a channel. Closing the channel ends the body.
 pub fn channel_body(depth: usize) -> (mpsc::Sender<Bytes>, ResponseBody) {
     let (sender, receiver) = mpsc::channel(depth);
-    let body = ChannelBody {
+    (sender, ChannelBody(receiver).boxed_unsync())
+}
+
+/// Creates a body whose chunks are sent through a channel. The body ends as complete only with
+/// [`BodySender::finish`], so that a sender that is lost does not make a part look like the whole.
+pub fn abortable_body(depth: usize) -> (BodySender, ResponseBody) {
+    let (chunks, receiver) = mpsc::channel(depth);
+    let body = AbortableBody {
         receiver,
-        to_chunk: Ok,
+        is_finished: false,
     };
-    (sender, body.boxed_unsync())
+    (BodySender(chunks), body.boxed_unsync())
 }
 
-/// Chunk of a response body, or the error that aborts the response.
-pub type ResponseChunk = Result<Bytes, AbortedResponse>;
+/// Sender of the chunks of a body that is aborted unless it is finished.
+#[derive(Debug)]
+pub struct BodySender(mpsc::Sender<Option<Bytes>>);
 
-/// Creates a body whose chunks are sent through a channel and which can be aborted. Closing the
-/// channel ends the body.
-pub fn abortable_body(depth: usize) -> (mpsc::Sender<ResponseChunk>, ResponseBody) {
-    let (sender, receiver) = mpsc::channel(depth);
-    let body = ChannelBody {
-        receiver,
-        to_chunk: |chunk| chunk,
-    };
-    (sender, body.boxed_unsync())
+impl BodySender {
+    /// Sends a chunk. Returns whether the receiver still exists.
+    pub async fn send(&self, data: Bytes) -> bool {
+        self.0.send(Some(data)).await.is_ok()
+    }
+
+    /// Ends the body as complete.
+    pub async fn finish(self) {
+        // Nobody waits for the end if the receiver is gone.
+        let _ = self.0.send(None).await;
+    }
+
+    /// Waits until the receiver is gone.
+    pub async fn closed(&self) {
+        self.0.closed().await;
+    }
+}
+
+struct ChannelBody(mpsc::Receiver<Bytes>);
+
+impl Body for ChannelBody {
+    type Data = Bytes;
+    type Error = AbortedResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortedResponse>>> {
+        let polled = self.0.poll_recv(context);
+        polled.map(|chunk| chunk.map(|data| Ok(Frame::data(data))))
+    }
 }
 
-struct ChannelBody<T> {
-    receiver: mpsc::Receiver<T>,
-    to_chunk: fn(T) -> ResponseChunk,
+struct AbortableBody {
+    receiver: mpsc::Receiver<Option<Bytes>>,
+    is_finished: bool,
 }
 
-impl<T> Body for ChannelBody<T> {
+impl Body for AbortableBody {
     type Data = Bytes;
     type Error = AbortedResponse;
 
@@ -96,9 +127,17 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortedResponse>>> {
-        let polled = self.receiver.poll_recv(context);
-        let to_chunk = self.to_chunk;
-        polled.map(|chunk| chunk.map(|chunk| to_chunk(chunk).map(Frame::data)))
+        if self.is_finished {
+            return Poll::Ready(None);
+        }
+        Poll::Ready(match ready!(self.receiver.poll_recv(context)) {
+            Some(Some(data)) => Some(Ok(Frame::data(data))),
+            Some(None) => {
+                self.is_finished = true;
+                None
+            }
+            None => Some(Err(AbortedResponse)),
+        })
     }
 }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -12,8 +12,8 @@
 mod server;
 
 pub use body::AbortedResponse;
+pub use body::BodySender;
 pub use body::ResponseBody;
-pub use body::ResponseChunk;
 pub use body::abortable_body;
 pub use body::bytes_body;
 pub use body::channel_body;
