gateway: an answer voids a crash only some time after the break

A server that broke off its streams may answer a probe for some milliseconds before it is gone. Its crash was voided as outlived, and a request that crashes servers ran on. Observations of one end of a process shared one crash id for three seconds, so that the outcome of a probe after a lost response also voided the crash that came after it.

An answer now counts from 300 ms after the latest observation with the crash's id on; observations share an id for 100 ms only, at all gateways, and count as one end as before. Until then probes at 0, 50 and 200 ms find ends sooner. A process that answers these is not counted meanwhile, unless six servers have ended, so that requests whose servers live are not refused; if it does not answer at the end of that time, its crash counts.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -17,7 +17,10 @@
     CrashState,
     ServerCrash, //
 };
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
 use units::InstanceId;
 
 use crate::crash_suspects::queue_news;
@@ -33,6 +36,11 @@
 const SILENCE_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a crash whose probe showed nothing may be probed again.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay between the first two probes of a process that may have crashed. A process that is about to
+/// end may still answer the first one.
+const FIRST_PROBE_DELAY: Duration = Duration::from_millis(50);
+/// Factor by which the delay grows from one probe to the next.
+const PROBE_DELAY_FACTOR: u32 = 3;
 /// Maximum number of probes started at once.
 const MAX_PROBES: usize = 16;
 /// Time after a presumed crash in which an answer must come from the same process, if the process
@@ -112,32 +120,65 @@
     }
 }
 
+/// Probes the server of a presumed crash until it is known whether the process has ended, or until an
+/// answer shows that it lives on.
 async fn probe_crash(shared: Arc<GatewayShared>, crash: ServerCrash) {
-    let target = probe_target(&shared.lock(), &crash);
-    let state = match target {
-        ProbeTarget::Known(state) => Some(state),
+    let mut interval = FIRST_PROBE_DELAY;
+    loop {
+        let now = Instant::now();
+        let until_due = crash.probe_due().saturating_duration_since(now);
+        let is_due = until_due.is_zero();
+        let timeout = if is_due { PROBE_TIMEOUT } else { until_due };
+        let state = probe_process(&shared, &crash, timeout, is_due).await;
+        if let Some(state) = state
+            && (is_due || state == CrashState::Confirmed)
+        {
+            return record_outcome(&shared, &crash, state);
+        }
+        let is_answered = state.is_some() && !is_due;
+        shared.lock().suspects.record_answer(crash.id, is_answered);
+        if is_due {
+            return;
+        }
+        sleep_until(crash.probe_due().min(now + interval)).await;
+        interval *= PROBE_DELAY_FACTOR;
+    }
+}
+
+/// Returns what a probe shows about the process of a presumed crash, if it shows anything.
+async fn probe_process(
+    shared: &GatewayShared,
+    crash: &ServerCrash,
+    timeout: Duration,
+    is_last: bool,
+) -> Option<CrashState> {
+    let target = probe_target(&shared.lock(), crash);
+    let (address, path) = match target {
+        ProbeTarget::Known(state) => return Some(state),
         ProbeTarget::Server {
             address,
             health_path,
-        } => {
-            let server = &crash.server;
-            let path = health_path.as_deref();
-            match probe_server(address, server, path, PROBE_TIMEOUT).await {
-                Ok(answer) => state_after(answer, &crash),
-                Err(error) => {
-                    log_probe(&shared, &crash, &error.to_string(), 0);
-                    None
-                }
+        } => (address, health_path),
+    };
+    match probe_server(address, &crash.server, path.as_deref(), timeout).await {
+        Ok(answer) => state_after(answer, crash),
+        Err(error) => {
+            if is_last {
+                log_probe(shared, crash, &error.to_string(), 0);
             }
+            None
         }
-    };
-    let Some(state) = state else { return };
+    }
+}
+
+/// Records what became of the process of a presumed crash.
+fn record_outcome(shared: &GatewayShared, crash: &ServerCrash, state: CrashState) {
     let mut guard = shared.lock();
     let gateway_state = &mut *guard;
     let concerned = gateway_state.suspects.record_state(crash.id, state);
     for fingerprint in &concerned {
         if gateway_state.suspects.has_repeated_crashes(*fingerprint) {
-            queue_news(&shared, gateway_state, *fingerprint);
+            queue_news(shared, gateway_state, *fingerprint);
         }
     }
     drop(guard);
@@ -145,7 +186,7 @@
         CrashState::Outlived => "backend server has outlived a presumed crash",
         _ => "backend server of a presumed crash has ended",
     };
-    log_probe(&shared, &crash, outcome, concerned.len());
+    log_probe(shared, crash, outcome, concerned.len());
 }
 
 fn probe_target(state: &GatewayState, crash: &ServerCrash) -> ProbeTarget {
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -43,8 +43,12 @@
 ];
 /// Time around the crashes of a request in which crashes without it suggest another cause.
 const OTHER_CRASHES_WINDOW: Duration = Duration::from_secs(10);
-/// Time in which it turns out whether a server has outlived its presumed crash.
+/// Time in which it turns out whether a server has outlived its presumed crash: the wait before the
+/// probe and the probe's timeout.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(1);
+/// Number of crashes from which those count too whose process has answered, though too early to show
+/// that it lives on.
+const ANSWERED_CRASH_LIMIT: usize = 6;
 /// Time between the turns of processes that may start the same trial, so that each learns of the
 /// trials of those before it.
 const TRIAL_TURN: Duration = Duration::from_secs(1);
@@ -60,6 +64,8 @@
 pub struct SuspectRegistry {
     limits: SuspectLimits,
     crashes: BTreeMap<CrashId, ServerCrash>,
+    /// Crashes whose process has answered since, though too early to show that it lives on.
+    answered: BTreeSet<CrashId>,
     records: BTreeMap<FingerprintId, SuspectRecord>,
     completions: VecDeque<(FingerprintId, Instant)>,
 }
@@ -70,15 +76,17 @@
         Self {
             limits,
             crashes: BTreeMap::new(),
+            answered: BTreeSet::new(),
             records: BTreeMap::new(),
             completions: VecDeque::new(),
         }
     }
 
-    /// Returns the id of a known crash that is the same end of the same process.
+    /// Returns the id of a known crash that was observed at the same time. A later observation of the
+    /// same end has an id of its own, since the process may have outlived the earlier one only.
     pub fn known_crash(&self, crash: &ServerCrash) -> Option<CrashId> {
         let mut known = self.crashes.values();
-        let found = known.find(|known| known.counts() && known.is_same_end(crash));
+        let found = known.find(|known| known.counts() && known.is_same_observation(crash));
         found.map(|known| known.id)
     }
 
@@ -149,9 +157,20 @@
         has_changed
     }
 
+    /// Records whether the process of a presumed crash has answered before an answer shows that it lives
+    /// on.
+    pub fn record_answer(&mut self, crash: CrashId, is_answered: bool) {
+        if is_answered {
+            self.answered.insert(crash);
+        } else {
+            self.answered.remove(&crash);
+        }
+    }
+
     /// Records what became of the process of a presumed crash. Returns the requests that the change
     /// concerns.
     pub fn record_state(&mut self, crash: CrashId, state: CrashState) -> Vec<FingerprintId> {
+        self.answered.remove(&crash);
         let Some(known) = self.crashes.get_mut(&crash) else {
             return Vec::new();
         };
@@ -281,23 +300,27 @@
             return SuspectVerdict::Unrestricted;
         };
         let ends = self.ends_of(record);
-        let Some(last_end) = ends.iter().map(|end| end.at).max() else {
+        let counted = self.counted_crashes(record);
+        let Some(last_end) = counted.clone().map(|crash| crash.at).max() else {
             return SuspectVerdict::Unrestricted;
         };
         if !self.is_current(record, now) {
             return SuspectVerdict::Unrestricted;
         }
-        if ends.len() < self.limits.crash_limit {
+        let firm = counted.clone();
+        let firm = distinct_ends(firm.filter(|crash| !self.answered.contains(&crash.id)));
+        if firm.len() < self.limits.crash_limit && ends.len() < ANSWERED_CRASH_LIMIT {
             return if self.limits.isolates {
                 SuspectVerdict::Isolated
             } else {
                 SuspectVerdict::Unrestricted
             };
         }
-        let is_pending = |end: &&ServerCrash| {
-            end.state == CrashState::Presumed && now < end.at + CONFIRMATION_TIME
+        let mut counted = counted;
+        let is_pending = |crash: &ServerCrash| {
+            crash.state == CrashState::Presumed && now < crash.at + CONFIRMATION_TIME
         };
-        if ends.iter().any(is_pending) {
+        if counted.any(is_pending) {
             return SuspectVerdict::Quarantined(CONFIRMATION_TIME);
         }
         let last = record.trial_at.map_or(last_end, |at| at.max(last_end));
@@ -334,7 +357,7 @@
                 && is_near(crash, ends)
                 && !ends.iter().any(|end| end.is_same_end(crash))
         });
-        let shares_all_ends = |other: &SuspectRecord| {
+        let shares_all_ends = |other: &&SuspectRecord| {
             let other_ends = self.ends_of(other);
             ends.iter()
                 .all(|end| other_ends.iter().any(|other| other.is_same_end(end)))
@@ -343,13 +366,21 @@
             || self
                 .records
                 .values()
-                .any(|other| !std::ptr::eq(other, record) && shares_all_ends(other))
+                .any(|other| !std::ptr::eq(other, record) && shares_all_ends(&other))
     }
 
     /// Returns the distinct ends of servers that count against a request.
-    fn ends_of(&self, record: &SuspectRecord) -> Vec<&ServerCrash> {
+    fn ends_of<'a>(&'a self, record: &'a SuspectRecord) -> Vec<&'a ServerCrash> {
+        distinct_ends(self.counted_crashes(record))
+    }
+
+    /// Returns the observations behind these ends.
+    fn counted_crashes<'a>(
+        &'a self,
+        record: &'a SuspectRecord,
+    ) -> impl Iterator<Item = &'a ServerCrash> + Clone {
         let crashes = record.crashes.iter().filter_map(|id| self.crashes.get(id));
-        distinct_ends(crashes.filter(|crash| crash.counts()))
+        crashes.filter(|crash| crash.counts())
     }
 
     fn completion_of(&self, fingerprint: FingerprintId) -> Option<Instant> {
--- a/crates/policy/src/suspect/crash.rs
+++ b/crates/policy/src/suspect/crash.rs
@@ -11,6 +11,12 @@
 /// Time within which broken connections to one incarnation of a backend server belong to the same
 /// crash. A restart takes longer.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(3);
+/// Time after the first observation of a crash in which further ones share its id. A later one may be
+/// the end of a process that has outlived the first.
+const SAME_OBSERVATION_WINDOW: Duration = Duration::from_millis(100);
+/// Time for which a process that is about to end may still answer on new connections, after it has
+/// broken off the others.
+const LINGER_TIME: Duration = Duration::from_millis(300);
 
 /// Identifier of one crash of one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,15 +68,28 @@
         self.state != CrashState::Outlived
     }
 
+    /// Returns the time from which an answer of the process shows that it has outlived the crash,
+    /// whenever the latest observation with this id was made.
+    pub fn probe_due(&self) -> Instant {
+        self.at + SAME_OBSERVATION_WINDOW + LINGER_TIME
+    }
+
     /// Returns whether two observations concern the same end of the same process.
     pub(crate) fn is_same_end(&self, other: &Self) -> bool {
+        self.is_near(other, SAME_CRASH_WINDOW)
+    }
+
+    /// Returns whether two observations are so close that they share an id.
+    pub(crate) fn is_same_observation(&self, other: &Self) -> bool {
+        self.is_near(other, SAME_OBSERVATION_WINDOW)
+    }
+
+    fn is_near(&self, other: &Self, window: Duration) -> bool {
         let distance = if self.at > other.at {
             self.at - other.at
         } else {
             other.at - self.at
         };
-        self.server == other.server
-            && self.incarnation == other.incarnation
-            && distance < SAME_CRASH_WINDOW
+        self.server == other.server && self.incarnation == other.incarnation && distance < window
     }
 }
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -270,6 +270,65 @@
     assert_eq!(registry.crash_count(POISON), 2);
 }
 
+/// Guards against an answer after a lost response that voids the server's crash some milliseconds
+/// later.
+#[test]
+fn crash_after_outlived_break() {
+    let mut registry = registry();
+    let start = Instant::now();
+    registry.record_crash(start, presumed(1, start), &[OTHER]);
+    let mut end = presumed(2, start + Duration::from_millis(150));
+    end.server = server(1);
+    end.id = registry.known_crash(&end).unwrap_or(end.id);
+    registry.record_crash(end.at, end.clone(), &[POISON]);
+    registry.record_state(CrashId(1), CrashState::Outlived);
+    assert_eq!(registry.crash_count(OTHER), 0);
+    assert_eq!(registry.crash_count(POISON), 1);
+}
+
+/// Guards against connections that one end of a process breaks counting as several observations, and
+/// against an answer of a process that is about to end.
+#[test]
+fn crash_observed_by_many_connections() {
+    let mut registry = registry();
+    let start = Instant::now();
+    let crash = presumed(1, start);
+    registry.record_crash(start, crash.clone(), &[POISON]);
+    let mut again = presumed(2, start + Duration::from_millis(99));
+    again.server = server(1);
+    assert_eq!(registry.known_crash(&again), Some(crash.id));
+    assert!(crash.probe_due() >= again.at + Duration::from_millis(300));
+    // A verdict waits for the probe, whose timeout is 500 ms.
+    assert!(crash.probe_due() + Duration::from_millis(500) <= start + Duration::from_secs(1));
+}
+
+/// Guards against a refusal of a request whose servers answer, and against an answer before the end of
+/// a process that voids its crash.
+#[test]
+fn crashes_answered_early() {
+    let mut registry = registry();
+    let start = Instant::now();
+    let third = record_crashes(&mut registry, start, 3);
+    registry.record_answer(CrashId(3), true);
+    let verdict = registry.verdict(third, POISON, 0);
+    assert_eq!(verdict, SuspectVerdict::Unrestricted);
+    assert_eq!(registry.crash_count(POISON), 3);
+    // Further crashes are not all waited for.
+    let mut beyond = registry.clone();
+    let sixth = record_crashes(&mut beyond, start, 6);
+    (4..=6).for_each(|number| beyond.record_answer(CrashId(number), true));
+    let verdict = beyond.verdict(sixth, POISON, 0);
+    assert!(matches!(verdict, SuspectVerdict::Quarantined(_)));
+    // The process ends after the answer, or does not answer again.
+    let mut silent = registry.clone();
+    silent.record_answer(CrashId(3), false);
+    registry.record_state(CrashId(3), CrashState::Confirmed);
+    for registry in [registry, silent] {
+        let verdict = registry.verdict(third, POISON, 0);
+        assert!(matches!(verdict, SuspectVerdict::Quarantined(_)));
+    }
+}
+
 /// Guards against a refusal of what many callers send alike: it completed before it met the crashes.
 #[test]
 fn crashes_after_completion() {
