policy, gateway: evidence on segments of prompts

A segment of prompts may crash each server that answers it. Evidence was held by whole requests, so that each request with the segment was a new one and servers ended without limit.

A suspect is now a request or a segment that prompts share: all but the last. Each crash is evidence against all suspects of a request in flight, except those that a complete run has cleared, which cause no report and no write. A request is refused, or tried, by the strictest verdict on its suspects; trials count for all that are at the crash limit. A second complete run no longer cancels the write that tells the store of the first.

In policy/tests/suspects.rs only the type of a key has changed.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -23,12 +23,12 @@
 };
 use units::InstanceId;
 
-use crate::crash_suspects::queue_news;
 use crate::shared::{
     GatewayShared,
     GatewayState, //
 };
 use crate::suspect_news::SilenceProbe;
+use crate::suspect_sharing::queue_news;
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -112,6 +112,8 @@
     probes.retain(|_, at| now < *at + PROBE_INTERVAL);
     let mut due = crashes;
     due.retain(|crash| !probes.contains_key(&crash.id));
+    due.sort_unstable_by_key(|crash| crash.id);
+    due.dedup_by_key(|crash| crash.id);
     due.truncate(MAX_PROBES);
     probes.extend(due.iter().map(|crash| (crash.id, now)));
     drop(state);
@@ -176,9 +178,9 @@
     let mut guard = shared.lock();
     let gateway_state = &mut *guard;
     let concerned = gateway_state.suspects.record_state(crash.id, state);
-    for fingerprint in &concerned {
-        if gateway_state.suspects.has_repeated_crashes(*fingerprint) {
-            queue_news(shared, gateway_state, *fingerprint);
+    for suspect in &concerned {
+        if gateway_state.suspects.has_repeated_crashes(*suspect) {
+            queue_news(shared, gateway_state, *suspect);
         }
     }
     drop(guard);
--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -1,6 +1,7 @@
-//! Observes which requests were in flight when backend servers crashed, and refuses those that cause
-//! crashes.
+//! Observes which requests and segments were in flight when backend servers crashed, and refuses those
+//! that cause crashes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,8 +14,8 @@
 use policy::{
     CrashId,
     CrashState,
+    PromptLayout,
     ServerCrash,
-    SuspectEvidence,
     SuspectVerdict,
     member_turn, //
 };
@@ -23,7 +24,8 @@
 use units::{
     FingerprintId,
     IncarnationId,
-    InstanceId, //
+    InstanceId,
+    SuspectId, //
 };
 
 use crate::attempt::AttemptError;
@@ -32,13 +34,14 @@
     probe_crashes, //
 };
 use crate::request::RequestContext;
-use crate::shared::{
-    GatewayShared,
-    GatewayState, //
+use crate::shared::GatewayShared;
+use crate::suspect_sharing::{
+    queue_news,
+    queue_news_after, //
 };
 
-/// Time after which evidence of a single crash is written to the store.
-const SINGLE_CRASH_DELAY: Duration = Duration::from_millis(1_000);
+/// Maximum number of segments of one prompt that may be suspects.
+const MAX_SEGMENTS: usize = 32;
 
 /// Cause of evidence against requests on a backend server that has fallen silent.
 pub(crate) const SILENT_CAUSE: &str =
@@ -51,10 +54,23 @@
     FingerprintId(XxHash3_64::oneshot_with_seed(seed, body))
 }
 
+/// Returns what may crash a backend server that runs a request: segments that other requests share, and
+/// the request itself.
+pub(crate) fn request_suspects(
+    fingerprint: FingerprintId,
+    layout: &PromptLayout,
+) -> Arc<[SuspectId]> {
+    let shared = layout.shared_segments().take(MAX_SEGMENTS);
+    let shared = shared.map(SuspectId::Segment);
+    let suspects: BTreeSet<SuspectId> = shared.chain([fingerprint.into()]).collect();
+    suspects.into_iter().collect()
+}
+
 /// Request under which a backend server may have crashed.
 #[derive(Debug, Clone)]
 pub(crate) struct CrashWitness {
     pub(crate) fingerprint: FingerprintId,
+    pub(crate) suspects: Arc<[SuspectId]>,
     pub(crate) request_id: Bytes,
 }
 
@@ -93,20 +109,30 @@
         state: CrashState::Presumed,
     };
     crash.id = state.suspects.known_crash(&crash).unwrap_or(crash.id);
-    let is_new = state
+    let suspects = witness.suspects.iter().copied();
+    let concerned = state
         .suspects
-        .record_crash(now, crash.clone(), &[fingerprint]);
-    let count = state.suspects.crash_count(fingerprint);
-    if is_new {
-        queue_news(shared, state, fingerprint);
+        .record_observation(now, crash, suspects.clone());
+    for suspect in concerned {
+        queue_news(shared, state, suspect);
     }
-    let unconfirmed = state.suspects.unconfirmed_crashes(fingerprint);
+    let registry = &state.suspects;
+    let count = registry.crash_count(fingerprint);
+    let segments = suspects.clone().filter(|suspect| suspect.is_segment());
+    let segments = segments.map(|segment| (segment, registry.crash_count(segment)));
+    let segments = segments.filter(|(_, count)| *count > 0);
+    let segments = segments
+        .map(|(segment, count)| format!("{segment}: {count} crashes"))
+        .collect();
+    let unconfirmed = suspects.flat_map(|suspect| registry.unconfirmed_crashes(suspect));
+    let unconfirmed = unconfirmed.collect();
     drop(guard);
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["own"]).inc();
     let record = DecisionRecord::new(DecisionKind::Suspect, cause)
         .request(String::from_utf8_lossy(&witness.request_id))
         .chosen(instance)
+        .considered(segments)
         .input("fingerprint", fingerprint.to_string())
         .input("source", "own")
         .input("incarnation", started_unix_ms)
@@ -116,111 +142,37 @@
     probe_crashes(shared, unconfirmed);
 }
 
-/// Queues the evidence on a suspect for the peers and the store. That of a single crash waits, since
-/// the request is mostly soon completed elsewhere.
-pub(crate) fn queue_news(
-    shared: &GatewayShared,
-    state: &mut GatewayState,
-    fingerprint: FingerprintId,
-) {
-    let is_repeated = state.suspects.has_repeated_crashes(fingerprint);
-    let delay = if is_repeated {
-        Duration::ZERO
-    } else {
-        SINGLE_CRASH_DELAY
-    };
-    queue_news_after(shared, state, fingerprint, delay);
-}
-
-fn queue_news_after(
-    shared: &GatewayShared,
-    state: &mut GatewayState,
-    fingerprint: FingerprintId,
-    delay: Duration,
-) {
-    let is_repeated = delay.is_zero();
-    state.suspect_news.report(fingerprint, is_repeated);
-    let due = Instant::now() + delay;
-    state.suspect_news.write(due, fingerprint);
-    shared.suspect_reports.notify_one();
-    shared.suspect_writes.notify_one();
-}
-
-/// Merges evidence that a peer has reported. Evidence of several crashes is relayed, since a gateway
-/// reports to a few peers only.
-pub(crate) fn merge_peer_evidence(
-    shared: &Arc<GatewayShared>,
-    peer: &InstanceId,
-    evidence: &SuspectEvidence,
-) {
-    let now = Instant::now();
-    let fingerprint = evidence.fingerprint;
-    let mut guard = shared.lock();
-    let state = &mut *guard;
-    let is_new = state.suspects.merge(now, evidence);
-    let count = state.suspects.crash_count(fingerprint);
-    let is_relayed = is_new && evidence.crashes.len() > 1;
-    if is_relayed || state.suspects.adds_to(evidence) {
-        queue_news_after(shared, state, fingerprint, Duration::ZERO);
-    }
-    if !is_new {
-        return;
+/// Clears a request and its segments of suspicion after a complete run. The end of an unframed body
+/// does not show that the server lives.
+pub(crate) fn record_completed(context: &RequestContext, is_framed: bool) {
+    if is_framed {
+        let suspects = context.suspects.iter().copied();
+        clear_suspects(context, suspects, "complete run; suspect cleared");
     }
-    let unconfirmed = state.suspects.unconfirmed_crashes(fingerprint);
-    drop(guard);
-    log_merged(shared, evidence, "peer", peer.as_str(), count);
-    probe_crashes(shared, unconfirmed);
 }
 
-/// Logs evidence that came from a peer or from the store.
-pub(crate) fn log_merged(
-    shared: &GatewayShared,
-    evidence: &SuspectEvidence,
-    source: &'static str,
-    origin: &str,
-    count: usize,
+fn clear_suspects(
+    context: &RequestContext,
+    suspects: impl Iterator<Item = SuspectId>,
+    reason: &str,
 ) {
-    let metrics = &shared.metrics;
-    metrics.crash_evidence.with_label_values(&[source]).inc();
-    let crashes = evidence.crashes.iter();
-    let servers = crashes.clone().map(|crash| {
-        let incarnation = crash.incarnation.map_or(0, |incarnation| incarnation.0);
-        format!("{}/{incarnation}", crash.server)
-    });
-    let latest = crashes.map(|crash| crash.at).max();
-    let latest = latest.max(evidence.completed_at);
-    let record = DecisionRecord::new(
-        DecisionKind::Suspect,
-        "evidence on a crash suspect received",
-    )
-    .considered(servers.collect())
-    .input("fingerprint", evidence.fingerprint.to_string())
-    .input("source", source)
-    .input("origin", origin)
-    .input("crashes", count)
-    .input("completed", evidence.completed_at.is_some())
-    .input("age_ms", latest.map(|at| at.elapsed().as_millis() as u64));
-    shared.log.write(record);
-}
-
-/// Clears a request of suspicion after a complete run. The end of an unframed body does not show that
-/// the server lives.
-pub(crate) fn record_completed(context: &RequestContext, is_framed: bool) {
-    if !is_framed {
-        return;
-    }
-    let fingerprint = context.fingerprint;
+    let now = Instant::now();
+    let mut cleared = Vec::new();
     let mut guard = context.shared.lock();
     let state = &mut *guard;
-    let crash_count = state.suspects.record_completed(Instant::now(), fingerprint);
-    // A single crash has no effect, so that nobody else needs to know that it is void.
-    match crash_count {
-        0 | 1 => state.suspect_news.cancel_write(fingerprint),
-        _ => queue_news_after(&context.shared, state, fingerprint, Duration::ZERO),
+    for suspect in suspects {
+        let crash_count = state.suspects.record_completed(now, suspect);
+        match crash_count {
+            0 => continue,
+            // A single crash has no effect, so that nobody else needs to know that it is void.
+            1 => state.suspect_news.cancel_write(suspect),
+            _ => queue_news_after(&context.shared, state, suspect, Duration::ZERO),
+        }
+        cleared.push(suspect);
     }
     drop(guard);
-    if crash_count > 0 {
-        let record = verdict_record(context, "cleared", "complete run; request cleared", 0);
+    for suspect in cleared {
+        let record = verdict_record(context, suspect, "cleared", reason, 0);
         context.shared.log.write(record);
     }
 }
@@ -228,6 +180,7 @@
 /// Counts a verdict on a suspect and returns its log record.
 fn verdict_record(
     context: &RequestContext,
+    suspect: SuspectId,
     verdict: &'static str,
     reason: &str,
     crashes: usize,
@@ -237,41 +190,59 @@
     context
         .record(DecisionKind::Suspect, reason)
         .input("fingerprint", context.fingerprint.to_string())
+        .input("suspect", suspect.to_string())
         .input("verdict", verdict)
         .input("crashes", crashes)
 }
 
+/// Returns whether a request or one of its segments was running when a backend server crashed.
+pub(crate) fn has_crash_evidence(context: &RequestContext) -> bool {
+    let state = context.shared.lock();
+    let mut suspects = context.suspects.iter();
+    suspects.any(|suspect| state.suspects.crash_count(*suspect) > 0)
+}
+
 /// Checks whether a request may be sent to a backend server, and starts the trial if it is one.
 ///
-/// Applies to each attempt, since the request may have caused a crash since the last one.
+/// Applies to each attempt, since the request or its segments may have caused a crash since the last
+/// one.
 pub(crate) fn check_suspect(context: &RequestContext) -> Result<(), AttemptError> {
-    let fingerprint = context.fingerprint;
     let now = Instant::now();
-    let mut state = context.shared.lock();
-    let count = state.suspects.crash_count(fingerprint);
-    if count == 0 || context.trial_crashes.get() == Some(&count) {
-        return Ok(());
-    }
     let own_instance = &context.shared.settings.instance;
-    let turn = member_turn(&fingerprint.to_string(), own_instance, state.members.keys());
-    let verdict = state.suspects.verdict(now, fingerprint, turn);
-    let evidence = state.suspects.evidence(fingerprint);
+    let mut guard = context.shared.lock();
+    let state = &mut *guard;
+    let registry = &state.suspects;
+    let mut trials = context
+        .trial_crashes
+        .lock()
+        .unwrap_or_else(|e| e.into_inner());
+    let is_tried =
+        |suspect: &SuspectId| trials.get(suspect) == Some(&registry.crash_count(*suspect));
+    let suspects = context.suspects.iter().filter(|s| !is_tried(s)).copied();
+    let turn =
+        |suspect: SuspectId| member_turn(&suspect.to_string(), own_instance, state.members.keys());
+    let Some((suspect, verdict)) = registry.strictest_verdict(now, suspects, turn) else {
+        return Ok(());
+    };
+    let count = registry.crash_count(suspect);
+    let evidence = registry.evidence(suspect);
     match verdict {
         SuspectVerdict::Unrestricted | SuspectVerdict::Isolated => return Ok(()),
         SuspectVerdict::Trial => {
-            state.suspects.record_trial(now, fingerprint);
-            queue_news(&context.shared, &mut state, fingerprint);
-            // A request is tried once; a later attempt finds the trial already set.
-            let _ = context.trial_crashes.set(count);
+            for tried in state.suspects.record_trials(now, &context.suspects) {
+                trials.insert(tried, state.suspects.crash_count(tried));
+                queue_news(&context.shared, state, tried);
+            }
         }
         SuspectVerdict::Quarantined(_) => {}
     }
-    drop(state);
+    drop(trials);
+    drop(guard);
     let reason = match verdict {
         SuspectVerdict::Trial => "quarantine has ended; request runs once more",
         _ => "request refused; it may have crashed these backend servers",
     };
-    let record = verdict_record(context, verdict.as_str(), reason, count);
+    let record = verdict_record(context, suspect, verdict.as_str(), reason, count);
     let crashes = evidence.into_iter().flat_map(|evidence| evidence.crashes);
     let crashes = crashes.map(|crash| describe_crash(&crash)).collect();
     let record = record.considered(crashes);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod suspect_news;
 mod suspect_record;
 mod suspect_report;
+mod suspect_sharing;
 mod suspect_store;
 
 pub use daemon::GatewayDaemon;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -27,19 +27,21 @@
 use twox_hash::XxHash3_64;
 use units::{
     IncarnationId,
-    InstanceId, //
+    InstanceId,
+    SuspectId, //
 };
 use wire::{
     GatewayLoad,
     ServerLoad, //
 };
 
-use crate::crash_suspects::merge_peer_evidence;
 use crate::shared::GatewayShared;
 use crate::suspect_report::{
-    parse_report,
-    to_report, //
+    parse_reports,
+    report_bytes,
+    to_reports, //
 };
+use crate::suspect_sharing::merge_peer_evidence;
 
 /// Minimum and maximum interval between load reports to each peer.
 const REPORT_INTERVALS: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(400)];
@@ -102,11 +104,15 @@
     let now = Instant::now();
     let mut guard = shared.lock();
     let state = &mut *guard;
-    let suspects = &state.suspects;
-    let count = |fingerprint| suspects.crash_count(fingerprint);
-    let reported = state.suspect_news.take_reported(count).into_iter();
-    let evidence = reported.filter_map(|fingerprint| suspects.evidence(fingerprint));
-    let suspects = evidence.map(|evidence| to_report(now, &evidence)).collect();
+    let registry = &state.suspects;
+    let count = |suspect: SuspectId| registry.crash_count(suspect);
+    let bytes = |suspect: SuspectId| {
+        let evidence = registry.evidence(suspect);
+        evidence.map_or(0, |evidence| report_bytes(now, &evidence))
+    };
+    let reported = state.suspect_news.take_reported(count, bytes).into_iter();
+    let evidence = reported.filter_map(|suspect| registry.evidence(suspect));
+    let (suspects, segments) = to_reports(now, evidence);
     let busy_views = state
         .fleet
         .views()
@@ -123,6 +129,7 @@
         number,
         loads: loads.collect(),
         suspects,
+        segments,
     }
 }
 
@@ -181,8 +188,8 @@
         .peer_loads
         .apply(now, peer.clone(), incarnation, report.number, loads);
     drop(guard);
-    for suspect in &report.suspects {
-        merge_peer_evidence(shared, &peer, &parse_report(now, suspect));
+    for evidence in parse_reports(now, &report) {
+        merge_peer_evidence(shared, &peer, &evidence);
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,9 +1,12 @@
 //! A request of a caller and the history of its attempts.
 
-use std::collections::BTreeSet;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::sync::{
     Arc,
-    OnceLock, //
+    Mutex, //
 };
 use std::time::Duration;
 
@@ -37,7 +40,8 @@
     ConfigVersion,
     FingerprintId,
     InstanceId,
-    ServiceName, //
+    ServiceName,
+    SuspectId, //
 };
 
 use crate::crash_suspects::CrashWitness;
@@ -60,8 +64,10 @@
     pub(crate) body: Bytes,
     /// Identical when a caller sends the same request again.
     pub(crate) fingerprint: FingerprintId,
-    /// Number of crashes at which the request is tried once more in spite of them.
-    pub(crate) trial_crashes: OnceLock<usize>,
+    /// What may crash a backend server that runs the request.
+    pub(crate) suspects: Arc<[SuspectId]>,
+    /// Numbers of crashes at which suspects are tried once more in spite of them.
+    pub(crate) trial_crashes: Mutex<BTreeMap<SuspectId, usize>>,
     pub(crate) metadata: RequestMetadata,
     /// When the request arrived.
     pub(crate) started: Instant,
@@ -80,6 +86,7 @@
     pub(crate) fn witness(&self) -> CrashWitness {
         CrashWitness {
             fingerprint: self.fingerprint,
+            suspects: self.suspects.clone(),
             request_id: self.metadata.request_id.clone(),
         }
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -42,6 +42,7 @@
 use crate::crash_probe::answers_probe;
 use crate::crash_suspects::{
     SILENT_CAUSE,
+    has_crash_evidence,
     record_crash, //
 };
 use crate::request::RequestContext;
@@ -97,11 +98,7 @@
 pub(crate) async fn record_silence(context: &RequestContext, instance: &InstanceId) -> Infallible {
     loop {
         context.wait_until_unresponsive(instance).await;
-        let crash_count = {
-            let state = context.shared.lock();
-            state.suspects.crash_count(context.fingerprint)
-        };
-        if crash_count == 0 {
+        if !has_crash_evidence(context) {
             continue;
         }
         if !answers_probe(&context.shared, instance).await {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc,
-    OnceLock, //
+    Mutex, //
 };
 use std::time::Duration;
 
@@ -33,7 +33,8 @@
 use crate::attempt::AttemptError;
 use crate::crash_suspects::{
     check_suspect,
-    request_fingerprint, //
+    request_fingerprint,
+    request_suspects, //
 };
 use crate::generation::serve_generation;
 use crate::plain::serve_plain;
@@ -121,11 +122,13 @@
     let body = read_request_body(body, &table, deadline).await?;
     let service = rule.choose_service(&metadata.request_id).clone();
     shared.credit_retry_budget(&service);
+    let fingerprint = request_fingerprint(&head.method, head.uri.path(), &body);
     let context = Arc::new(RequestContext {
         shared: shared.clone(),
         service,
         config_version: table.version,
-        fingerprint: request_fingerprint(&head.method, head.uri.path(), &body),
+        fingerprint,
+        suspects: request_suspects(fingerprint, &metadata.prompt_layout),
         method: head.method,
         uri: head.uri,
         headers: head.headers,
@@ -134,7 +137,7 @@
         started,
         deadline,
         rule,
-        trial_crashes: OnceLock::new(),
+        trial_crashes: Mutex::default(),
     });
     if let Err(AttemptError::Quarantined(remaining)) = check_suspect(&context) {
         return Err(RequestError::Quarantined(remaining));
--- a/crates/gateway/src/suspect_news.rs
+++ b/crates/gateway/src/suspect_news.rs
@@ -8,14 +8,16 @@
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 use units::{
-    FingerprintId,
     InstanceId, //
+    SuspectId,
 };
 
 /// Number of load reports that carry the same evidence, since datagrams get lost.
 const REPORT_REPEATS: u32 = 3;
 /// Maximum number of suspects in one load report.
 const MAX_REPORTED_SUSPECTS: usize = 32;
+/// Maximum size of the evidence in one load report, which peers receive together with the loads.
+const MAX_REPORTED_BYTES: usize = 8 * 1024;
 /// Maximum number of suspects that wait to be reported. The store tells peers about the others.
 const MAX_WAITING_SUSPECTS: usize = 512;
 
@@ -30,11 +32,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct SuspectNews {
     /// Remaining reports to the peers.
-    unreported: BTreeMap<FingerprintId, u32>,
+    unreported: BTreeMap<SuspectId, u32>,
     /// Suspects whose records in the store lack evidence, and when the evidence is to be written.
-    unwritten: BTreeMap<FingerprintId, Instant>,
+    unwritten: BTreeMap<SuspectId, Instant>,
     /// Revisions of the records in the store.
-    revisions: BTreeMap<FingerprintId, u64>,
+    revisions: BTreeMap<SuspectId, u64>,
     /// Latest probe of each silent server, with its time and whether the server answered.
     pub(crate) silence_probes: BTreeMap<InstanceId, Arc<Mutex<Option<SilenceProbe>>>>,
     /// Time of the latest probe for each crash.
@@ -44,22 +46,22 @@
 impl SuspectNews {
     /// Queues a suspect for the peers. `is_repeated` is false for evidence that a single report may
     /// carry, since the store has it too.
-    pub(crate) fn report(&mut self, fingerprint: FingerprintId, is_repeated: bool) {
+    pub(crate) fn report(&mut self, suspect: SuspectId, is_repeated: bool) {
         if self.unreported.len() < MAX_WAITING_SUSPECTS || is_repeated {
             let repeats = if is_repeated { REPORT_REPEATS } else { 1 };
-            self.unreported.insert(fingerprint, repeats);
+            self.unreported.insert(suspect, repeats);
         }
     }
 
     /// Queues a suspect for the store, no later than it is queued already.
-    pub(crate) fn write(&mut self, due: Instant, fingerprint: FingerprintId) {
-        let known = self.unwritten.entry(fingerprint).or_insert(due);
+    pub(crate) fn write(&mut self, due: Instant, suspect: SuspectId) {
+        let known = self.unwritten.entry(suspect).or_insert(due);
         *known = due.min(*known);
     }
 
     /// Removes a suspect whose evidence need not be written.
-    pub(crate) fn cancel_write(&mut self, fingerprint: FingerprintId) {
-        self.unwritten.remove(&fingerprint);
+    pub(crate) fn cancel_write(&mut self, suspect: SuspectId) {
+        self.unwritten.remove(&suspect);
     }
 
     /// Returns when the next evidence is to be written.
@@ -67,16 +69,27 @@
         self.unwritten.values().min().copied()
     }
 
-    /// Takes the suspects for the next load report, those with the most crashes first.
+    /// Takes the suspects for the next load report: those with the most crashes first, and segments before
+    /// requests.
     pub(crate) fn take_reported(
         &mut self,
-        crash_count: impl Fn(FingerprintId) -> usize,
-    ) -> Vec<FingerprintId> {
-        let mut waiting: Vec<FingerprintId> = self.unreported.keys().copied().collect();
-        waiting.sort_by_key(|fingerprint| std::cmp::Reverse(crash_count(*fingerprint)));
+        crash_count: impl Fn(SuspectId) -> usize,
+        report_bytes: impl Fn(SuspectId) -> usize,
+    ) -> Vec<SuspectId> {
+        let mut waiting: Vec<SuspectId> = self.unreported.keys().copied().collect();
+        waiting.sort_by_key(|suspect| std::cmp::Reverse(crash_count(*suspect)));
         waiting.truncate(MAX_REPORTED_SUSPECTS);
-        for fingerprint in &waiting {
-            if let Some(remaining) = self.unreported.get_mut(fingerprint) {
+        let mut total_bytes = 0;
+        waiting.retain(|suspect| {
+            let with_this = total_bytes + report_bytes(*suspect);
+            let fits = with_this <= MAX_REPORTED_BYTES;
+            if fits {
+                total_bytes = with_this;
+            }
+            fits
+        });
+        for suspect in &waiting {
+            if let Some(remaining) = self.unreported.get_mut(suspect) {
                 *remaining -= 1;
             }
         }
@@ -84,40 +97,40 @@
         waiting
     }
 
-    /// Takes up to `limit` suspects for the next write to the store, those with the most crashes
-    /// first and also those that are not due yet.
+    /// Takes up to `limit` suspects for the next write to the store: those with the most crashes first,
+    /// segments before requests, and also those that are not due yet.
     pub(crate) fn take_unwritten(
         &mut self,
         limit: usize,
-        crash_count: impl Fn(FingerprintId) -> usize,
-    ) -> Vec<FingerprintId> {
-        let mut waiting: Vec<FingerprintId> = self.unwritten.keys().copied().collect();
-        waiting.sort_by_key(|fingerprint| std::cmp::Reverse(crash_count(*fingerprint)));
+        crash_count: impl Fn(SuspectId) -> usize,
+    ) -> Vec<SuspectId> {
+        let mut waiting: Vec<SuspectId> = self.unwritten.keys().copied().collect();
+        waiting.sort_by_key(|suspect| std::cmp::Reverse(crash_count(*suspect)));
         waiting.truncate(limit);
-        for fingerprint in &waiting {
-            self.unwritten.remove(fingerprint);
+        for suspect in &waiting {
+            self.unwritten.remove(suspect);
         }
         waiting
     }
 
     /// Returns the revision of a suspect's record in the store, or 0 if it has none.
-    pub(crate) fn revision(&self, fingerprint: FingerprintId) -> u64 {
-        self.revisions.get(&fingerprint).copied().unwrap_or(0)
+    pub(crate) fn revision(&self, suspect: SuspectId) -> u64 {
+        self.revisions.get(&suspect).copied().unwrap_or(0)
     }
 
     /// Records the revision of a suspect's record in the store.
-    pub(crate) fn set_revision(&mut self, fingerprint: FingerprintId, revision: u64) {
-        let known = self.revisions.entry(fingerprint).or_default();
+    pub(crate) fn set_revision(&mut self, suspect: SuspectId, revision: u64) {
+        let known = self.revisions.entry(suspect).or_default();
         *known = revision.max(*known);
     }
 
     /// Records that the store has no record of a suspect.
-    pub(crate) fn clear_revision(&mut self, fingerprint: FingerprintId) {
-        self.revisions.remove(&fingerprint);
+    pub(crate) fn clear_revision(&mut self, suspect: SuspectId) {
+        self.revisions.remove(&suspect);
     }
 
     /// Returns the suspects that have records in the store.
-    pub(crate) fn recorded(&self) -> Vec<FingerprintId> {
+    pub(crate) fn recorded(&self) -> Vec<SuspectId> {
         self.revisions.keys().copied().collect()
     }
 }
--- a/crates/gateway/src/suspect_record.rs
+++ b/crates/gateway/src/suspect_record.rs
@@ -17,14 +17,14 @@
 };
 use tokio::time::Instant;
 use units::{
-    FingerprintId,
     IncarnationId,
     InstanceId, //
+    SuspectId,
 };
 
 use crate::suspect_report::time_before;
 
-/// Prefix of the records. The fingerprint of the request follows.
+/// Prefix of the records. The suspect follows: the fingerprint of a request, or the id of a segment.
 pub(crate) const SUSPECT_PREFIX: &str = "galenarail/suspects/";
 
 /// State of a crash by its name in a record.
@@ -85,12 +85,12 @@
 }
 
 /// Returns the store key of a suspect.
-pub(crate) fn suspect_key(fingerprint: FingerprintId) -> String {
-    format!("{SUSPECT_PREFIX}{fingerprint}")
+pub(crate) fn suspect_key(suspect: SuspectId) -> String {
+    format!("{SUSPECT_PREFIX}{suspect}")
 }
 
 /// Returns the suspect that a store key belongs to.
-pub(crate) fn parse_suspect_key(key: &str) -> Option<FingerprintId> {
+pub(crate) fn parse_suspect_key(key: &str) -> Option<SuspectId> {
     key.strip_prefix(SUSPECT_PREFIX)?.parse().ok()
 }
 
@@ -119,7 +119,7 @@
 /// Parses the record of a suspect.
 pub(crate) fn parse_record(
     clock: ClockReading,
-    fingerprint: FingerprintId,
+    suspect: SuspectId,
     value: &[u8],
 ) -> Result<SuspectEvidence, serde_json::Error> {
     let document: SuspectDocument = serde_json::from_slice(value)?;
@@ -136,7 +136,7 @@
     });
     let to_time = |unix_ms: Option<u64>| unix_ms.map(|unix_ms| clock.parse_unix_ms(unix_ms));
     Ok(SuspectEvidence {
-        fingerprint,
+        suspect,
         crashes: crashes.collect(),
         completed_at: to_time(document.completed_unix_ms),
         trials: document.trials,
--- a/crates/gateway/src/suspect_report.rs
+++ b/crates/gateway/src/suspect_report.rs
@@ -8,14 +8,19 @@
     ServerCrash,
     SuspectEvidence, //
 };
+use prost::Message;
 use tokio::time::Instant;
 use units::{
     FingerprintId,
-    IncarnationId, //
+    IncarnationId,
+    SegmentId,
+    SuspectId, //
 };
 use wire::{
     CrashReport,
     CrashStateCode,
+    GatewayLoad,
+    SegmentReport,
     SuspectReport, //
 };
 
@@ -29,7 +34,39 @@
     time.unwrap_or(now)
 }
 
-pub(crate) fn to_report(now: Instant, evidence: &SuspectEvidence) -> SuspectReport {
+/// Returns the evidence on some suspects in the form of a load report: that on requests, and that on
+/// segments.
+pub(crate) fn to_reports(
+    now: Instant,
+    evidence: impl Iterator<Item = SuspectEvidence>,
+) -> (Vec<SuspectReport>, Vec<SegmentReport>) {
+    let (mut requests, mut segments) = (Vec::new(), Vec::new());
+    for evidence in evidence {
+        match evidence.suspect {
+            SuspectId::Request(fingerprint) => {
+                requests.push(to_report(now, fingerprint, &evidence));
+            }
+            SuspectId::Segment(segment) => segments.push(SegmentReport {
+                segment: segment.0,
+                evidence: Some(to_report(now, FingerprintId::default(), &evidence)),
+            }),
+        }
+    }
+    (requests, segments)
+}
+
+/// Returns the size of the evidence on a suspect in a load report.
+pub(crate) fn report_bytes(now: Instant, evidence: &SuspectEvidence) -> usize {
+    /// Maximum size of tags, lengths and the id of a segment.
+    const FRAME_BYTES: usize = 20;
+    to_report(now, FingerprintId::default(), evidence).encoded_len() + FRAME_BYTES
+}
+
+fn to_report(
+    now: Instant,
+    fingerprint: FingerprintId,
+    evidence: &SuspectEvidence,
+) -> SuspectReport {
     let crashes = evidence.crashes.iter().map(|crash| CrashReport {
         crash: crash.id.0,
         server: crash.server.to_string(),
@@ -43,7 +80,7 @@
         .into(),
     });
     SuspectReport {
-        fingerprint: evidence.fingerprint.0,
+        fingerprint: fingerprint.0,
         crashes: crashes.collect(),
         completed_age_ms: evidence.completed_at.map(|at| age_ms(now, at)),
         trials: evidence.trials,
@@ -51,8 +88,20 @@
     }
 }
 
-/// Parses a report. Crashes of servers without a valid name are left out.
-pub(crate) fn parse_report(now: Instant, report: &SuspectReport) -> SuspectEvidence {
+/// Returns the evidence in a load report. Crashes of servers without a valid name are left out.
+pub(crate) fn parse_reports(now: Instant, report: &GatewayLoad) -> Vec<SuspectEvidence> {
+    let segments = report.segments.iter().filter_map(|report| {
+        let suspect = SuspectId::Segment(SegmentId(report.segment));
+        Some(parse_report(now, suspect, report.evidence.as_ref()?))
+    });
+    let requests = report.suspects.iter().map(|report| {
+        let suspect = SuspectId::Request(FingerprintId(report.fingerprint));
+        parse_report(now, suspect, report)
+    });
+    segments.chain(requests).collect()
+}
+
+fn parse_report(now: Instant, suspect: SuspectId, report: &SuspectReport) -> SuspectEvidence {
     let crashes = report.crashes.iter().filter_map(|crash| {
         Some(ServerCrash {
             id: CrashId(crash.crash),
@@ -67,7 +116,7 @@
         })
     });
     SuspectEvidence {
-        fingerprint: FingerprintId(report.fingerprint),
+        suspect,
         crashes: crashes.collect(),
         completed_at: report.completed_age_ms.map(|age| time_before(now, age)),
         trials: report.trials,
--- a/crates/gateway/src/suspect_store.rs
+++ b/crates/gateway/src/suspect_store.rs
@@ -24,9 +24,8 @@
     sleep,
     timeout_at, //
 };
-use units::FingerprintId;
+use units::SuspectId;
 
-use crate::crash_suspects::log_merged;
 use crate::shared::GatewayShared;
 use crate::store_watch::count_store_call;
 use crate::suspect_record::{
@@ -37,6 +36,7 @@
     suspect_key,
     to_record, //
 };
+use crate::suspect_sharing::log_merged;
 
 /// Maximum number of records in one transaction. Each takes a precondition and a write of the 32
 /// entries that the store allows.
@@ -84,7 +84,7 @@
 
 /// Records to be written in one transaction.
 struct RecordBatch {
-    fingerprints: Vec<FingerprintId>,
+    suspects: Vec<SuspectId>,
     preconditions: Vec<KeyPrecondition>,
     puts: Vec<KeyPut>,
 }
@@ -94,16 +94,19 @@
     let clock = ClockReading::take();
     let mut guard = shared.lock();
     let state = &mut *guard;
-    let suspects = &state.suspects;
-    let count = |fingerprint| suspects.crash_count(fingerprint);
-    let fingerprints = state.suspect_news.take_unwritten(MAX_RECORDS, count);
+    let registry = &state.suspects;
+    let count = |suspect: SuspectId| registry.crash_count(suspect);
+    let suspects = state.suspect_news.take_unwritten(MAX_RECORDS, count);
     let (mut preconditions, mut puts) = (Vec::new(), Vec::new());
-    for fingerprint in &fingerprints {
-        let Some(evidence) = suspects.evidence(*fingerprint) else {
+    for suspect in &suspects {
+        let Some(evidence) = registry.evidence(*suspect) else {
             continue;
         };
-        let key = suspect_key(*fingerprint);
-        let revision = state.suspect_news.revision(*fingerprint);
+        let key = suspect_key(*suspect);
+        let revision = state.suspect_news.revision(*suspect);
+        if evidence.crashes.is_empty() && revision == 0 {
+            continue;
+        }
         preconditions.push(KeyPrecondition {
             key: key.clone(),
             revision,
@@ -115,7 +118,7 @@
         });
     }
     RecordBatch {
-        fingerprints,
+        suspects,
         preconditions,
         puts,
     }
@@ -133,17 +136,17 @@
     let outcome = count_store_call(shared, write).await;
     if let Ok(WriteOutcome::Committed(revision)) = outcome {
         let mut state = shared.lock();
-        for fingerprint in batch.fingerprints {
-            state.suspect_news.set_revision(fingerprint, revision);
+        for suspect in batch.suspects {
+            state.suspect_news.set_revision(suspect, revision);
         }
         return Ok(());
     }
     let now = Instant::now();
     // The response may also have been lost after the write took effect.
-    for fingerprint in &batch.fingerprints {
-        shared.lock().suspect_news.write(now, *fingerprint);
+    for suspect in &batch.suspects {
+        shared.lock().suspect_news.write(now, *suspect);
     }
-    log_unwritten(shared, batch.fingerprints.len(), &outcome);
+    log_unwritten(shared, batch.suspects.len(), &outcome);
     outcome?;
     reload_suspects(shared).await
 }
@@ -173,10 +176,10 @@
 /// Merges all records in the store. Records that are known and gone have expired.
 pub(crate) fn replace_suspects(shared: &GatewayShared, items: &[KeyValue]) {
     let listed = items.iter().filter_map(|item| parse_suspect_key(&item.key));
-    let listed: std::collections::BTreeSet<FingerprintId> = listed.collect();
+    let listed: std::collections::BTreeSet<SuspectId> = listed.collect();
     let recorded = shared.lock().suspect_news.recorded();
-    for fingerprint in recorded.into_iter().filter(|f| !listed.contains(f)) {
-        forget_record(shared, fingerprint);
+    for suspect in recorded.into_iter().filter(|f| !listed.contains(f)) {
+        forget_record(shared, suspect);
     }
     items.iter().for_each(|item| merge_record(shared, item));
 }
@@ -186,31 +189,31 @@
     match change {
         KeyChange::Written(item) => merge_record(shared, item),
         KeyChange::Removed(key) => {
-            if let Some(fingerprint) = parse_suspect_key(key) {
-                forget_record(shared, fingerprint);
+            if let Some(suspect) = parse_suspect_key(key) {
+                forget_record(shared, suspect);
             }
         }
     }
 }
 
 /// Writes a record again that was removed although its evidence still has an effect here.
-fn forget_record(shared: &GatewayShared, fingerprint: FingerprintId) {
+fn forget_record(shared: &GatewayShared, suspect: SuspectId) {
     let now = Instant::now();
     let mut state = shared.lock();
-    state.suspect_news.clear_revision(fingerprint);
-    if state.suspects.is_expired(now, fingerprint) {
-        state.suspects.remove(fingerprint);
+    state.suspect_news.clear_revision(suspect);
+    if state.suspects.is_expired(now, suspect) {
+        state.suspects.remove(suspect);
     } else {
-        state.suspect_news.write(now, fingerprint);
+        state.suspect_news.write(now, suspect);
         shared.suspect_writes.notify_one();
     }
 }
 
 fn merge_record(shared: &GatewayShared, item: &KeyValue) {
-    let Some(fingerprint) = parse_suspect_key(&item.key) else {
+    let Some(suspect) = parse_suspect_key(&item.key) else {
         return;
     };
-    let evidence = match parse_record(ClockReading::take(), fingerprint, &item.value) {
+    let evidence = match parse_record(ClockReading::take(), suspect, &item.value) {
         Ok(evidence) => evidence,
         Err(error) => {
             let reason = "record of a crash suspect cannot be read; remove its key from the store";
@@ -223,11 +226,11 @@
     let now = Instant::now();
     let mut guard = shared.lock();
     let state = &mut *guard;
-    state.suspect_news.set_revision(fingerprint, item.revision);
+    state.suspect_news.set_revision(suspect, item.revision);
     let is_new = state.suspects.merge(now, &evidence);
-    let count = state.suspects.crash_count(fingerprint);
+    let count = state.suspects.crash_count(suspect);
     if state.suspects.adds_to(&evidence) {
-        state.suspect_news.write(now, fingerprint);
+        state.suspect_news.write(now, suspect);
         shared.suspect_writes.notify_one();
     }
     drop(guard);
@@ -259,16 +262,16 @@
     let mut guard = shared.lock();
     let state = &mut *guard;
     let mut removals = Vec::new();
-    for fingerprint in state.suspects.expired(Instant::now()) {
-        let revision = state.suspect_news.revision(fingerprint);
+    for suspect in state.suspects.expired(Instant::now()) {
+        let revision = state.suspect_news.revision(suspect);
         if revision == 0 {
-            state.suspects.remove(fingerprint);
+            state.suspects.remove(suspect);
             continue;
         }
-        let turn = member_turn(&fingerprint.to_string(), own_instance, state.members.keys());
+        let turn = member_turn(&suspect.to_string(), own_instance, state.members.keys());
         if turn == 0 && removals.len() < MAX_RECORDS {
             removals.push(KeyPrecondition {
-                key: suspect_key(fingerprint),
+                key: suspect_key(suspect),
                 revision,
             });
         }
--- a/crates/policy/src/prompt_layout.rs
+++ b/crates/policy/src/prompt_layout.rs
@@ -40,6 +40,13 @@
         self.segments.iter().map(|segment| segment.tokens.0).sum()
     }
 
+    /// Returns the ids of the segments that other requests may share: all but the last.
+    pub fn shared_segments(&self) -> impl Iterator<Item = SegmentId> {
+        let count = self.segments.len().saturating_sub(1);
+        let shared = self.segments.iter().take(count);
+        shared.map(|segment| segment.id)
+    }
+
     /// Returns the last shared segment. Requests that share it are sent to the same engine for its
     /// cached prefix. Returns the only segment if there is just one.
     pub fn affinity_segment(&self) -> Option<SegmentId> {
--- a/crates/policy/src/suspect/evidence.rs
+++ b/crates/policy/src/suspect/evidence.rs
@@ -1,19 +1,19 @@
 //! Everything known about one suspect, as processes share it.
 
 use tokio::time::Instant;
-use units::FingerprintId;
+use units::SuspectId;
 
 use super::crash::ServerCrash;
 
-/// Evidence for and against one request. Merging is idempotent and independent of the order, so that
+/// Evidence for and against one suspect. Merging is idempotent and independent of the order, so that
 /// it may be repeated, relayed and written to a store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectEvidence {
-    /// Fingerprint of the request.
-    pub fingerprint: FingerprintId,
-    /// Crashes of backend servers on which the request was running.
+    /// What the evidence is about.
+    pub suspect: SuspectId,
+    /// Crashes of backend servers on which the suspect was running.
     pub crashes: Vec<ServerCrash>,
-    /// Time at which a backend server completed the request, which shows that it crashes none.
+    /// Time at which a backend server answered it, which shows that it crashes none.
     pub completed_at: Option<Instant>,
     /// Number of runs that were allowed after the crash limit was reached.
     pub trials: u32,
@@ -23,9 +23,9 @@
 
 impl SuspectEvidence {
     /// Creates evidence without any observation.
-    pub fn new(fingerprint: FingerprintId) -> Self {
+    pub fn new(suspect: SuspectId) -> Self {
         Self {
-            fingerprint,
+            suspect,
             crashes: Vec::new(),
             completed_at: None,
             trials: 0,
--- a/crates/policy/src/suspect/record.rs
+++ b/crates/policy/src/suspect/record.rs
@@ -13,10 +13,10 @@
     ServerCrash, //
 };
 
-/// Time after a complete run during which crashes do not count against the request.
-const INNOCENCE_DURATION: Duration = Duration::from_secs(600);
+/// Time after a complete run during which crashes do not count against the suspect.
+pub(super) const INNOCENCE_DURATION: Duration = Duration::from_secs(600);
 /// Difference from which a later complete run is worth telling others.
-const COMPLETION_NEWS: Duration = Duration::from_secs(300);
+pub(super) const COMPLETION_NEWS: Duration = Duration::from_secs(300);
 
 #[derive(Debug, Clone, Default)]
 pub(super) struct SuspectRecord {
@@ -27,13 +27,13 @@
 }
 
 impl SuspectRecord {
-    /// Returns whether crashes do not count against the request.
+    /// Returns whether crashes do not count against the suspect.
     pub(super) fn is_innocent(&self, now: Instant) -> bool {
         let completed_at = self.completed_at;
         completed_at.is_some_and(|at| now < at + INNOCENCE_DURATION)
     }
 
-    /// Removes the crashes and trials that a complete run of the request has voided.
+    /// Removes the crashes and trials that a complete run of the suspect has voided.
     pub(super) fn void_completed(&mut self, crashes: &BTreeMap<CrashId, ServerCrash>) {
         let Some(completed_at) = self.completed_at else {
             return;
--- a/crates/policy/src/suspect/verdict.rs
+++ b/crates/policy/src/suspect/verdict.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 /// Restrictions under which a request may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// A later variant is stricter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspectVerdict {
     /// The request may run concurrently with other requests.
     Unrestricted,
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -20,7 +20,10 @@
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
-use units::FingerprintId;
+use units::{
+    FingerprintId,
+    SuspectId, //
+};
 
 const SCHEDULES: u32 = 10_000;
 const REQUESTS: u64 = 4;
@@ -243,7 +246,7 @@
     let third = record_crashes(&mut registry, Instant::now(), 3);
     assert_eq!(registry.unconfirmed_crashes(POISON).len(), 3);
     let concerned = registry.record_state(CrashId(2), CrashState::Outlived);
-    assert_eq!(concerned, [POISON]);
+    assert_eq!(concerned, [SuspectId::from(POISON)]);
     assert_eq!(registry.crash_count(POISON), 2);
     let verdict = registry.verdict(third, POISON, 0);
     assert_eq!(verdict, SuspectVerdict::Unrestricted);
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -3,6 +3,7 @@
 mod error;
 mod name;
 mod number;
+mod suspect;
 
 pub use error::UnitError;
 pub use name::AccountName;
@@ -25,3 +26,4 @@
 pub use number::TokenCount;
 pub use number::TokenRate;
 pub use number::WorthPoints;
+pub use suspect::SuspectId;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -45,6 +45,7 @@
 pub use messages::LoadStatus;
 pub use messages::OrderVerdict;
 pub use messages::RoleOrder;
+pub use messages::SegmentReport;
 pub use messages::ServerLoad;
 pub use messages::SuspectReport;
 pub use messages::TicketGrant;
--- a/crates/wire/src/messages/gateway_load.rs
+++ b/crates/wire/src/messages/gateway_load.rs
@@ -73,6 +73,18 @@
     pub trial_age_ms: Option<u64>,
 }
 
+/// Evidence for and against a segment of prompts that may crash backend servers.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct SegmentReport {
+    /// Id of the segment.
+    #[prost(fixed64, tag = "1")]
+    pub segment: u64,
+    /// The evidence, without a fingerprint.
+    #[prost(message, optional, tag = "2")]
+    pub evidence: Option<SuspectReport>,
+}
+
 /// Load of one gateway on all backend servers, sent as one datagram.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
@@ -92,4 +104,7 @@
     /// Latest evidence on requests that may crash backend servers. Tag 5 held an earlier form.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<SuspectReport>,
+    /// Latest evidence on segments of prompts that may crash backend servers.
+    #[prost(message, repeated, tag = "7")]
+    pub segments: Vec<SegmentReport>,
 }
