gateway: a stream under way clears the segments of its prompt

A server that crashes on a segment ends as it begins to write. A stream that still delivers events 300 ms after its first one shows that its segments crash nothing; they are cleared then, once an attempt, without waiting for the end of the stream.

No committed test has a stream that goes on for 300 ms.

--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -151,6 +151,13 @@
     }
 }
 
+/// Clears the segments of a request on which a backend server goes on writing an answer.
+pub(crate) fn record_answering(context: &RequestContext) {
+    let suspects = context.suspects.iter().copied();
+    let segments = suspects.filter(|suspect| suspect.is_segment());
+    clear_suspects(context, segments, "answer under way; segment cleared");
+}
+
 fn clear_suspects(
     context: &RequestContext,
     suspects: impl Iterator<Item = SuspectId>,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -26,6 +26,7 @@
     is_malformed, //
 };
 
+use crate::answer_watch::AnswerWatch;
 use crate::crash_suspects::{
     record_completed,
     record_crash,
@@ -234,6 +235,7 @@
     let instance = engine.selection.instance;
     let (_, mut body) = response.http.into_parts();
     let mut started = None;
+    let mut answer = AnswerWatch::default();
     let can_resume = context.rule.kind.is_retryable();
     loop {
         let frame = tokio::select! {
@@ -273,6 +275,7 @@
             continue;
         }
         timing.record(context.started.elapsed());
+        answer.record_events(context);
         let delivered = tokio::select! {
             delivered = chunks.send(Ok(events)) => delivered.is_ok(),
             () = sleep_until(context.deadline) => return AttemptEnd::DeadlineExceeded,
