policy: a segment in more ends than another is tried within seconds

A segment that most prompts share is in the ends of the segment that crashes servers, and may be in others. A segment's crashes have another likely cause if another segment shares three of them, and its quarantine then follows its trials alone. It is tried after 3 s, 30 s and 10 minutes, three times at most as before.

--- a/crates/policy/src/suspect/ends.rs
+++ b/crates/policy/src/suspect/ends.rs
@@ -28,8 +28,8 @@
     distinct
 }
 
-/// Returns whether all of `ends` are among `others`.
-pub(super) fn covers(others: &[&ServerCrash], ends: &[&ServerCrash]) -> bool {
-    ends.iter()
-        .all(|end| others.iter().any(|other| other.is_same_end(end)))
+/// Returns the number of `ends` that are among `others`.
+pub(super) fn count_shared(ends: &[&ServerCrash], others: &[&ServerCrash]) -> usize {
+    let is_shared = |end: &&&ServerCrash| others.iter().any(|other| other.is_same_end(end));
+    ends.iter().filter(is_shared).count()
 }
--- a/crates/policy/src/suspect/judgement.rs
+++ b/crates/policy/src/suspect/judgement.rs
@@ -16,7 +16,7 @@
     ServerCrash, //
 };
 use super::ends::{
-    covers,
+    count_shared,
     distinct_ends,
     is_near, //
 };
@@ -160,8 +160,15 @@
         ends: &[&ServerCrash],
     ) -> Duration {
         let extra_crashes = ends.len() - self.limits.crash_limit;
-        let position = extra_crashes.max(record.trials as usize);
-        let quarantines = if self.has_other_cause(suspect, ends) {
+        let trials = record.trials as usize;
+        let is_contested = self.has_other_cause(suspect, ends);
+        // A segment in most prompts is in more ends than those that it may have caused.
+        let position = if is_contested && suspect.is_segment() {
+            trials
+        } else {
+            extra_crashes.max(trials)
+        };
+        let quarantines = if is_contested {
             CONTESTED_QUARANTINES
         } else {
             QUARANTINES
@@ -172,8 +179,8 @@
 
     /// Returns whether the crashes of a suspect have another likely cause: as many servers crashed
     /// without it in the same time, or another suspect of the same kind was there in all of its
-    /// crashes. A request and its own segments would excuse each other. A request that ran in
-    /// isolation has no other cause.
+    /// crashes, or, for a segment, in as many as make one suspect. A request and its own segments would
+    /// excuse each other. A request that ran in isolation has no other cause.
     fn has_other_cause(&self, suspect: SuspectId, ends: &[&ServerCrash]) -> bool {
         if self.limits.isolates {
             return false;
@@ -183,10 +190,15 @@
                 && is_near(crash, ends)
                 && !ends.iter().any(|end| end.is_same_end(crash))
         });
+        let needed = if suspect.is_segment() {
+            self.limits.crash_limit
+        } else {
+            ends.len()
+        };
         distinct_ends(others).len() >= ends.len()
             || self
                 .others_of_kind(suspect)
-                .any(|other| covers(&self.ends_of(other), ends))
+                .any(|other| count_shared(ends, &self.ends_of(other)) >= needed)
     }
 
     /// Returns whether another segment was there in all crashes of a segment and in more: one that
@@ -195,7 +207,9 @@
         self.others_of_kind(segment).any(|other| {
             let may_cover = other.crashes.len() > ends.len();
             let other_ends = may_cover.then(|| self.ends_of(other));
-            other_ends.is_some_and(|other| other.len() > ends.len() && covers(&other, ends))
+            other_ends.is_some_and(|other| {
+                other.len() > ends.len() && count_shared(ends, &other) == ends.len()
+            })
         })
     }
 
--- a/crates/policy/tests/part_suspects.rs
+++ b/crates/policy/tests/part_suspects.rs
@@ -235,6 +235,25 @@
     assert_eq!(verdict, SuspectVerdict::Quarantined(QUARANTINE));
 }
 
+/// Guards against a long refusal of a part that all prompts share, since it was in one more end than
+/// the part that crashes servers and has not been answered yet.
+#[test]
+fn innocent_part_in_more_ends() {
+    let mut registry = registry();
+    let start = Instant::now();
+    let mut last = end_server(&mut registry, start, 1, &[FIRST]);
+    for number in 2..=4 {
+        last = end_server(&mut registry, start, number, &[FIRST, GUILTY]);
+    }
+    let wait = SuspectVerdict::Quarantined(Duration::from_secs(3));
+    assert_eq!(registry.verdict(last, FIRST, 0), wait);
+    let due = last + Duration::from_secs(3);
+    assert_eq!(registry.record_trials(due, &[FIRST, BESIDE]), [FIRST]);
+    registry.record_completed(due, FIRST);
+    assert!(is_free(&registry, due, FIRST));
+    assert!(is_refused(&registry, due, GUILTY));
+}
+
 /// Guards against two parts that were always together excusing each other, or both being kept out for
 /// long.
 #[test]
