--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each request gets one complete answer or an error that states correctly whether the request was
 //! processed.
 
+mod answer_watch;
 mod attempt;
 mod crash_probe;
 mod crash_suspects;
@@ -34,6 +35,7 @@
 mod suspect_news;
 mod suspect_record;
 mod suspect_report;
+mod suspect_sharing;
 mod suspect_store;
 mod unframed_end;
 
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -12,6 +12,7 @@
 use units::InstanceId;
 use web::BodySender;
 
+use crate::answer_watch::AnswerWatch;
 use crate::generation::open_stream;
 use crate::request::{
     AttemptHistory,
@@ -123,6 +124,7 @@
     /// Forwards the events of an attempt, and of those that replace it, until one ends.
     async fn forward_attempt(&mut self, mut attempt: StreamAttempt) -> StreamEnd {
         let mut instance = attempt.instance.clone();
+        let mut answer = AnswerWatch::default();
         loop {
             let received = match self.next_step(&mut attempt, &instance).await {
                 StreamStep::Received(received) => received,
@@ -130,6 +132,7 @@
                 StreamStep::Replaced(standby) => {
                     (attempt, self.cursor) = (standby.attempt, standby.cursor);
                     instance = attempt.instance.clone();
+                    answer = AnswerWatch::default();
                     if let Err(end) = self.deliver(standby.events).await {
                         return end;
                     }
@@ -151,6 +154,9 @@
             let Ok(events) = self.cursor.push(&bytes) else {
                 return self.fail(instance, "events_out_of_order");
             };
+            if !events.is_empty() {
+                answer.record_events(&self.context);
+            }
             if let Err(end) = self.deliver(events).await {
                 return end;
             }
