policy: a segment that a request does not hold explains the request's crashes

Callers saw: a sound request that was in flight on three engines when a crashing segment of other prompts ended them was refused for some seconds (kept_out) when its caller sent it again.

Cause: three ends are the limit for a request too, and the segment's evidence was compared with segments only.

Change: a request at its limit is free while a segment that it does not hold was there in all of its ends and is at the limit itself.

--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -221,11 +221,12 @@
         .lock()
         .unwrap_or_else(|e| e.into_inner());
     let is_tried =
-        |suspect: &SuspectId| trials.get(suspect) == Some(&registry.crash_count(*suspect));
-    let suspects = context.suspects.iter().filter(|s| !is_tried(s)).copied();
+        |suspect: SuspectId| trials.get(&suspect) == Some(&registry.crash_count(suspect));
     let turn =
         |suspect: SuspectId| member_turn(&suspect.to_string(), own_instance, state.members.keys());
-    let Some((suspect, verdict)) = registry.strictest_verdict(now, suspects, turn) else {
+    let Some((suspect, verdict)) =
+        registry.strictest_verdict(now, &context.suspects, is_tried, turn)
+    else {
         return Ok(());
     };
     let count = registry.crash_count(suspect);
--- a/crates/policy/src/suspect/judgement.rs
+++ b/crates/policy/src/suspect/judgement.rs
@@ -120,18 +120,25 @@
     }
 
     /// Returns the strictest verdict on what a request holds, with the suspect that it is about.
+    ///
+    /// `held` are the request and its segments; those for which `is_tried` holds are left out.
     pub fn strictest_verdict(
         &self,
         now: Instant,
-        suspects: impl IntoIterator<Item = SuspectId>,
+        held: &[SuspectId],
+        is_tried: impl Fn(SuspectId) -> bool,
         turn: impl Fn(SuspectId) -> u32,
     ) -> Option<(SuspectId, SuspectVerdict)> {
         let mut strictest: Option<(SuspectId, SuspectVerdict)> = None;
-        for suspect in suspects {
-            if !self.records.contains_key(&suspect) {
+        for suspect in held.iter().copied() {
+            if !self.records.contains_key(&suspect) || is_tried(suspect) {
                 continue;
             }
             let verdict = self.verdict(now, suspect, turn(suspect));
+            let is_restricted = verdict > SuspectVerdict::Isolated;
+            if is_restricted && self.met_foreign_segment(suspect, held) {
+                continue;
+            }
             if strictest.is_none_or(|(_, known)| verdict > known) {
                 strictest = Some((suspect, verdict));
             }
@@ -139,6 +146,28 @@
         strictest
     }
 
+    /// Returns whether a segment that the request does not hold was there in all of its crashes, and in
+    /// enough to be refused itself.
+    fn met_foreign_segment(&self, suspect: SuspectId, held: &[SuspectId]) -> bool {
+        let Some(record) = self.records.get(&suspect) else {
+            return false;
+        };
+        if suspect.is_segment() || self.limits.isolates {
+            return false;
+        }
+        let ends = self.ends_of(record);
+        let segments = self.records.iter().take_while(|(id, _)| id.is_segment());
+        let mut foreign = segments.filter(|(id, _)| !held.contains(id));
+        foreign.any(|(_, segment)| {
+            let may_cover = segment.crashes.len() >= ends.len();
+            let segment_ends = may_cover.then(|| self.ends_of(segment));
+            segment_ends.is_some_and(|segment_ends| {
+                segment_ends.len() >= self.limits.crash_limit
+                    && count_shared(&ends, &segment_ends) == ends.len()
+            })
+        })
+    }
+
     /// Records a trial of those suspects in a request that are at the crash limit, and returns them.
     pub fn record_trials(&mut self, now: Instant, suspects: &[SuspectId]) -> Vec<SuspectId> {
         let at_limit = |suspect: &&SuspectId| {
--- a/crates/policy/tests/part_suspects.rs
+++ b/crates/policy/tests/part_suspects.rs
@@ -95,10 +95,13 @@
     let verdict = registry.verdict(last, GUILTY, 0);
     assert_eq!(verdict, SuspectVerdict::Quarantined(QUARANTINE));
     let parts = [FIRST, GUILTY, request(7)];
-    let strictest = registry.strictest_verdict(last, parts, |_| 0);
+    let strictest = registry.strictest_verdict(last, &parts, |_| false, |_| 0);
     assert_eq!(strictest, Some((GUILTY, verdict)));
     let sound = [FIRST, BESIDE, request(8)];
-    assert_eq!(registry.strictest_verdict(last, sound, |_| 0), None);
+    assert_eq!(
+        registry.strictest_verdict(last, &sound, |_| false, |_| 0),
+        None
+    );
 }
 
 /// Guards against gateways that each count the ends that they have seen themselves.
@@ -294,7 +297,7 @@
             number += 1;
             let suspects: Vec<SuspectId> =
                 beside.iter().copied().chain([request(number)]).collect();
-            let strictest = registry.strictest_verdict(now, suspects.iter().copied(), |_| 0);
+            let strictest = registry.strictest_verdict(now, &suspects, |_| false, |_| 0);
             match strictest.map(|(_, verdict)| verdict) {
                 Some(SuspectVerdict::Quarantined(_)) => {}
                 Some(SuspectVerdict::Trial) => {
