gateway: servers that refuse connections do not use up a request

Callers saw: 503 unreached with sound servers left, where a gateway met three servers in a row that were down and that it did not know of yet: with twelve gateways each of them does so after the ends of three engines.

Cause: a request failed at the third server out of reach, however little time these had taken.

Change: the limit is on the time spent on servers out of reach, 900 ms, which is what three of them took if none answered. Servers that refuse connections at once leave time for all others; nothing reaches a server, so that the retry budget is not concerned.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -5,6 +5,7 @@
     Arc,
     MutexGuard, //
 };
+use std::time::Duration;
 
 use hyper::Response;
 use policy::{
@@ -31,7 +32,6 @@
 use crate::latency::ServerStage;
 use crate::request::{
     AttemptHistory,
-    MAX_UNREACHABLE_SERVERS,
     RequestContext, //
 };
 use crate::request_error::RequestError;
@@ -103,6 +103,7 @@
             return Err(history.final_error("repeats_spent"));
         }
         history.sending_to = Some(instance.clone());
+        let started = Instant::now();
         let result = send_decode(context, engine, &mut kv_cache, resume_after).await;
         history.sending_to = None;
         let error = match result {
@@ -114,7 +115,7 @@
             Err(error) => error,
         };
         history.excluded.insert(instance.clone());
-        record_failure(context, history, &error)?;
+        record_failure(context, history, &error, started.elapsed())?;
         context.log_retry(&instance, error.as_str());
     }
 }
@@ -141,9 +142,10 @@
     context: &RequestContext,
     history: &mut AttemptHistory,
     error: &AttemptError,
+    elapsed: Duration,
 ) -> Result<(), RequestError> {
     match error {
-        AttemptError::Unreachable => history.unreachable += 1,
+        AttemptError::Unreachable => history.record_unreachable(elapsed),
         AttemptError::NotProcessed(_) => history.refused += 1,
         AttemptError::Unsure(_) => history.maybe_processed += 1,
         AttemptError::DeadlineExceeded => return Err(RequestError::DeadlineExceeded),
@@ -165,9 +167,7 @@
     context: &Arc<RequestContext>,
     history: &mut AttemptHistory,
 ) -> Option<RemoteKvCache> {
-    while history.prefill_attempts < MAX_PREFILL_ATTEMPTS
-        && history.unreachable < MAX_UNREACHABLE_SERVERS
-    {
+    while history.prefill_attempts < MAX_PREFILL_ATTEMPTS && !history.has_been_unreachable() {
         let engine = select_prefill(context, history)?;
         check_suspect(context).ok()?;
         if history.prefill_attempts > 0 && !context.shared.try_spend_retry(&context.service) {
@@ -176,13 +176,16 @@
         let instance = engine.selection.instance.clone();
         // Counted before the result, since the attempt may be given up meanwhile.
         history.prefill_attempts += 1;
+        let started = Instant::now();
         match send_prefill(context, engine).await {
             Ok(kv_cache) => return Some(kv_cache),
             Err(AttemptError::DeadlineExceeded | AttemptError::Quarantined(_)) => return None,
             Err(error) => {
                 // The limit of prefill attempts covers only those that reached an engine.
                 history.prefill_attempts -= u32::from(error == AttemptError::Unreachable);
-                history.unreachable += u32::from(error == AttemptError::Unreachable);
+                if error == AttemptError::Unreachable {
+                    history.record_unreachable(started.elapsed());
+                }
                 history.excluded.insert(instance.clone());
                 context.log_retry(&instance, error.as_str());
             }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -24,7 +24,6 @@
 use crate::request::{
     AttemptHistory,
     MAX_REFUSALS,
-    MAX_UNREACHABLE_SERVERS,
     RequestContext, //
 };
 use crate::request_error::RequestError;
@@ -91,8 +90,8 @@
                 return Ok(into_caller_response(response));
             }
             Err(AttemptError::Unreachable) => {
-                history.unreachable += 1;
-                if history.unreachable >= MAX_UNREACHABLE_SERVERS {
+                history.record_unreachable(started.elapsed());
+                if history.has_been_unreachable() {
                     return Err(history.final_error("unreached"));
                 }
                 context.log_retry(&instance, "unreached");
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -250,8 +250,9 @@
 
 /// Number of refused attempts at which a request fails.
 pub(crate) const MAX_REFUSALS: u32 = 3;
-/// Number of unreachable backend servers at which a request fails.
-pub(crate) const MAX_UNREACHABLE_SERVERS: u32 = 3;
+/// Time spent on unreachable backend servers at which a request fails. Servers that refuse connections
+/// at once leave time for many others, those that do not answer for a few.
+pub(crate) const MAX_UNREACHABLE_TIME: Duration = Duration::from_millis(900);
 
 /// Attempts made so far for one request.
 #[derive(Debug, Default)]
@@ -262,6 +263,8 @@
     pub(crate) refused: u32,
     /// Attempts that did not reach a backend server.
     pub(crate) unreachable: u32,
+    /// Time spent on these.
+    pub(crate) unreachable_time: Duration,
     /// Prefill-only attempts that reached an engine.
     pub(crate) prefill_attempts: u32,
     /// Backend servers that are not selected again.
@@ -279,10 +282,21 @@
         }
     }
 
+    /// Counts an attempt that did not reach its backend server.
+    pub(crate) fn record_unreachable(&mut self, elapsed: Duration) {
+        self.unreachable += 1;
+        self.unreachable_time += elapsed;
+    }
+
+    /// Returns whether backend servers have been out of reach for as long as is allowed.
+    pub(crate) fn has_been_unreachable(&self) -> bool {
+        self.unreachable_time >= MAX_UNREACHABLE_TIME
+    }
+
     /// Returns whether backend servers have refused the request or were out of reach as often as is
     /// allowed.
     pub(crate) fn has_failed_too_often(&self) -> bool {
-        self.refused >= MAX_REFUSALS || self.unreachable >= MAX_UNREACHABLE_SERVERS
+        self.refused >= MAX_REFUSALS || self.has_been_unreachable()
     }
 
     /// Returns whether no attempt has reached a backend server, prefill-only attempts aside. The
