policy, gateway: sound requests go on while two segments share all ends

Callers saw: sound requests refused for 3 s and more (kept_out) where a segment that all prompts share had not been answered yet when another one crashed its third server: in the first second of a gateway, or at a gateway that serves few.

Cause: both segments were in all ends, and both were refused until a trial.

Change: what excuses a request excuses a segment too: another segment that the request does not hold and that covers all ends. If it is wrong, the next end tells the two apart (segment_under_more_ends_than_foreign_segment). A segment on which a stream delivers events is judged when that stream has shown its outcome. Evidence that voids crashes is relayed.

Ruled out: an immediate trial, since the gateways take turns, one second apart; a shorter time until a stream clears its segments, since a guilty one would be cleared for ten minutes.

--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -220,12 +220,15 @@
         .trial_crashes
         .lock()
         .unwrap_or_else(|e| e.into_inner());
-    let is_tried =
-        |suspect: SuspectId| trials.get(&suspect) == Some(&registry.crash_count(suspect));
+    // A segment that is being answered is judged once the outcome is known.
+    let is_exempt = |suspect: SuspectId| {
+        trials.get(&suspect) == Some(&registry.crash_count(suspect))
+            || state.answering_segments.contains(suspect)
+    };
     let turn =
         |suspect: SuspectId| member_turn(&suspect.to_string(), own_instance, state.members.keys());
     let Some((suspect, verdict)) =
-        registry.strictest_verdict(now, &context.suspects, is_tried, turn)
+        registry.strictest_verdict(now, &context.suspects, is_exempt, turn)
     else {
         return Ok(());
     };
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -43,6 +43,7 @@
     ConnectionPool, //
 };
 
+use crate::answer_watch::AnsweringSegments;
 use crate::membership::PLANNER_LEASE_TTL;
 use crate::metrics::GatewayMetrics;
 use crate::suspect_news::SuspectNews;
@@ -91,6 +92,8 @@
     pub(crate) peer_loads: PeerLoads,
     /// Requests that were running on backend servers that crashed.
     pub(crate) suspects: SuspectRegistry,
+    /// Segments of prompts that backend servers are answering.
+    pub(crate) answering_segments: AnsweringSegments,
     /// Evidence on suspects that has yet to reach the peers and the store.
     pub(crate) suspect_news: SuspectNews,
     /// Planner lease as known to this gateway, which allows orders while the gateway holds it.
@@ -147,6 +150,7 @@
                 planner_is_free: false,
                 peer_loads: PeerLoads::default(),
                 suspects: SuspectRegistry::new(SuspectLimits::SHARING),
+                answering_segments: AnsweringSegments::default(),
                 suspect_news: SuspectNews::default(),
                 retry_limits: retry_limits(&settings),
                 grace: settings.grace_period(),
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -124,7 +124,7 @@
     /// Forwards the events of an attempt, and of those that replace it, until one ends.
     async fn forward_attempt(&mut self, mut attempt: StreamAttempt) -> StreamEnd {
         let mut instance = attempt.instance.clone();
-        let mut answer = AnswerWatch::default();
+        let mut answer = AnswerWatch::new(&self.context);
         loop {
             let received = match self.next_step(&mut attempt, &instance).await {
                 StreamStep::Received(received) => received,
@@ -132,7 +132,7 @@
                 StreamStep::Replaced(standby) => {
                     (attempt, self.cursor) = (standby.attempt, standby.cursor);
                     instance = attempt.instance.clone();
-                    answer = AnswerWatch::default();
+                    answer = AnswerWatch::new(&self.context);
                     if let Err(end) = self.deliver(standby.events).await {
                         return end;
                     }
@@ -155,7 +155,7 @@
                 return self.fail(instance, "events_out_of_order");
             };
             if !events.is_empty() {
-                answer.record_events(&self.context);
+                answer.record_events();
             }
             if let Err(end) = self.deliver(events).await {
                 return end;
--- a/crates/gateway/src/suspect_sharing.rs
+++ b/crates/gateway/src/suspect_sharing.rs
@@ -49,8 +49,8 @@
     shared.suspect_writes.notify_one();
 }
 
-/// Merges evidence that a peer has reported. Evidence of several crashes is relayed, since a gateway
-/// reports to a few peers only.
+/// Merges evidence that a peer has reported. Evidence of several crashes, or that voids them, is
+/// relayed, since a gateway reports to a few peers only.
 pub(crate) fn merge_peer_evidence(
     shared: &Arc<GatewayShared>,
     peer: &InstanceId,
@@ -62,7 +62,7 @@
     let state = &mut *guard;
     let is_new = state.suspects.merge(now, evidence);
     let count = state.suspects.crash_count(suspect);
-    let is_relayed = is_new && evidence.crashes.len() > 1;
+    let is_relayed = is_new && (evidence.crashes.len() > 1 || evidence.completed_at.is_some());
     if is_relayed || state.suspects.adds_to(evidence) {
         queue_news_after(shared, state, suspect, Duration::ZERO);
     }
--- a/crates/policy/src/suspect/judgement.rs
+++ b/crates/policy/src/suspect/judgement.rs
@@ -121,17 +121,17 @@
 
     /// Returns the strictest verdict on what a request holds, with the suspect that it is about.
     ///
-    /// `held` are the request and its segments; those for which `is_tried` holds are left out.
+    /// `held` are the request and its segments; those for which `is_exempt` holds are left out.
     pub fn strictest_verdict(
         &self,
         now: Instant,
         held: &[SuspectId],
-        is_tried: impl Fn(SuspectId) -> bool,
+        is_exempt: impl Fn(SuspectId) -> bool,
         turn: impl Fn(SuspectId) -> u32,
     ) -> Option<(SuspectId, SuspectVerdict)> {
         let mut strictest: Option<(SuspectId, SuspectVerdict)> = None;
         for suspect in held.iter().copied() {
-            if !self.records.contains_key(&suspect) || is_tried(suspect) {
+            if !self.records.contains_key(&suspect) || is_exempt(suspect) {
                 continue;
             }
             let verdict = self.verdict(now, suspect, turn(suspect));
@@ -146,13 +146,13 @@
         strictest
     }
 
-    /// Returns whether a segment that the request does not hold was there in all of its crashes, and in
-    /// enough to be refused itself.
+    /// Returns whether a segment that the request does not hold was there in all crashes of a suspect,
+    /// and in enough to be refused itself.
     fn met_foreign_segment(&self, suspect: SuspectId, held: &[SuspectId]) -> bool {
         let Some(record) = self.records.get(&suspect) else {
             return false;
         };
-        if suspect.is_segment() || self.limits.isolates {
+        if self.limits.isolates {
             return false;
         }
         let ends = self.ends_of(record);
--- a/crates/policy/tests/part_requests.rs
+++ b/crates/policy/tests/part_requests.rs
@@ -87,3 +87,34 @@
         "{verdict:?}"
     );
 }
+
+/// Guards against a refusal of sound requests whose first segment has not been answered yet when another
+/// segment, which they do not hold, crashes servers.
+#[test]
+fn segment_under_ends_of_foreign_segment() {
+    let mut registry = SuspectRegistry::new(SuspectLimits::SHARING);
+    let last = end_servers(&mut registry, CRASH_LIMIT, &[FIRST, GUILTY]);
+    assert_eq!(
+        verdict(&registry, last, &[FIRST, SOUND_REQUEST]),
+        SuspectVerdict::Unrestricted
+    );
+    let held = [FIRST, GUILTY, SOUND_REQUEST];
+    let refused = verdict(&registry, last, &held);
+    assert!(
+        matches!(refused, SuspectVerdict::Quarantined(_)),
+        "{refused:?}"
+    );
+}
+
+/// Guards against a segment that is excused for good by another one which met some of its crashes.
+#[test]
+fn segment_under_more_ends_than_foreign_segment() {
+    let mut registry = SuspectRegistry::new(SuspectLimits::SHARING);
+    end_servers(&mut registry, CRASH_LIMIT, &[FIRST, GUILTY]);
+    let last = end_servers(&mut registry, CRASH_LIMIT + 1, &[GUILTY]);
+    let refused = verdict(&registry, last, &[GUILTY, SOUND_REQUEST]);
+    assert!(
+        matches!(refused, SuspectVerdict::Quarantined(_)),
+        "{refused:?}"
+    );
+}
