platform, gateway: revisions and leases end with the store's era

The store may come back from a copy some seconds old. Revisions and lease ids are then given out again, so that a watch continued from a revision of another history and missed what was written before it, a lease was renewed that had become another gateway's, and an ended lease could be that of another.

The client keeps the highest Store-Era of all responses, whatever their status. Revisions and leases carry their era; calls that refer to an ended era are not sent, and responses made in an earlier era than the latest, or in a later one than the call refers to, are EraEnded. The gateway compares eras after each call and voids leases and the planner key in one place; the watch is cut off and all keys are read again. A planner key that names this gateway without a lease of its own is removed, and a leaving gateway renews its lease before it ends it.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -36,6 +36,7 @@
 };
 
 use crate::GatewayError;
+use crate::backend_entries::expire_backends;
 use crate::error::ListenSnafu;
 use crate::load_exchange::{
     receive_load_reports,
@@ -49,10 +50,7 @@
 use crate::serve::serve_request;
 use crate::shared::GatewayShared;
 use crate::stages::plan_stages;
-use crate::store_watch::{
-    expire_backends,
-    watch_store, //
-};
+use crate::store_watch::watch_store;
 use crate::suspect_store::write_suspects;
 
 /// Time for which a draining gateway still accepts connections. The load balancer probes readiness
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! processed.
 
 mod attempt;
+mod backend_entries;
 mod crash_probe;
 mod crash_suspects;
 mod daemon;
@@ -25,6 +26,7 @@
 mod serve;
 mod shared;
 mod stages;
+mod store_era;
 mod store_watch;
 mod suspect_news;
 mod suspect_record;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -16,13 +16,15 @@
     KeyPrecondition,
     KeyPut,
     KeyValue,
-    LeaseId,
     PlatformError,
+    StoreLease,
+    StoreRevision,
     WriteOutcome, //
 };
+use policy::BootTime;
 use tokio::time::{
     Instant,
-    sleep, //
+    timeout, //
 };
 use units::{
     EpochNumber,
@@ -51,67 +53,83 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Leases that this gateway holds.
-#[derive(Default)]
-struct HeldLeases {
-    member: Option<LeaseId>,
-    planner: Option<LeaseId>,
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct HeldLeases {
+    member: Option<StoreLease>,
+    planner: Option<StoreLease>,
     member_renewed_at: Option<Instant>,
 }
 
+/// Key of the planner lease, according to the watch on the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlannerKey {
+    /// Not read yet.
+    Unknown,
+    /// No gateway holds the lease.
+    Absent,
+    /// Names this gateway, and was written at this revision.
+    Own(u64),
+    /// Names another gateway.
+    Other,
+}
+
 /// Keeps this gateway registered, and acquires and renews the planner lease, until aborted.
 pub(crate) async fn maintain_leases(shared: Arc<GatewayShared>) {
-    let mut held = HeldLeases::default();
+    let mut eras = shared.eras.subscribe();
     loop {
-        let pause = match maintain_once(&shared, &mut held).await {
+        let pause = match maintain_once(&shared).await {
             Ok(()) => PLANNER_RENEWAL_INTERVAL,
             Err(_) => RETRY_DELAY,
         };
-        sleep(pause).await;
+        // Leases are opened again as soon as the era rises.
+        let _ = timeout(pause, eras.changed()).await;
     }
 }
 
-async fn maintain_once(shared: &GatewayShared, held: &mut HeldLeases) -> Result<(), PlatformError> {
-    if held.planner.is_some() {
-        renew_planner_lease(shared, held).await?;
-    }
-    maintain_membership(shared, held).await?;
-    let is_free = shared.lock().planner_is_free;
-    if is_free && held.planner.is_none() && !shared.is_draining() {
-        try_acquire_planner_lease(shared, held).await?;
+async fn maintain_once(shared: &GatewayShared) -> Result<(), PlatformError> {
+    renew_planner_lease(shared).await?;
+    maintain_membership(shared).await?;
+    let is_held = shared.lock().leases.planner.is_some();
+    let planner_key = shared.lock().planner_key;
+    match planner_key {
+        PlannerKey::Absent if !is_held && !shared.is_draining() => {
+            try_acquire_planner_lease(shared).await
+        }
+        PlannerKey::Own(revision) if !is_held => remove_unheld_key(shared, revision).await,
+        _ => Ok(()),
     }
-    Ok(())
 }
 
 /// Renews the lease of the member key if it is due, and registers the gateway if the lease has ended.
-async fn maintain_membership(
-    shared: &GatewayShared,
-    held: &mut HeldLeases,
-) -> Result<(), PlatformError> {
+async fn maintain_membership(shared: &GatewayShared) -> Result<(), PlatformError> {
     let now = Instant::now();
+    let held = shared.lock().leases;
     let is_renewal_due = held
         .member_renewed_at
         .is_none_or(|at| now >= at + MEMBER_RENEWAL_INTERVAL);
-    match held.member {
-        Some(_) if !is_renewal_due => {}
-        Some(lease) if track_store_call(shared, shared.store.renew_lease(lease)).await? => {
-            held.member_renewed_at = Some(now);
-        }
-        _ => {
-            held.member = Some(register_member(shared).await?);
-            held.member_renewed_at = Some(now);
-        }
+    let renewed = match held.member {
+        Some(_) if !is_renewal_due => return Ok(()),
+        Some(lease) if track_store_call(shared, shared.store.renew_lease(lease)).await? => lease,
+        _ => register_member(shared).await?,
+    };
+    let mut state = shared.lock();
+    if state.era.is_current(renewed.era) {
+        state.leases.member = Some(renewed);
+        state.leases.member_renewed_at = Some(now);
     }
     Ok(())
 }
 
-async fn register_member(shared: &GatewayShared) -> Result<LeaseId, PlatformError> {
+async fn register_member(shared: &GatewayShared) -> Result<StoreLease, PlatformError> {
     let lease = track_store_call(shared, shared.store.open_lease(MEMBER_LEASE_TTL)).await?;
     let put = KeyPut {
         key: format!("{MEMBER_PREFIX}{}", shared.settings.instance),
         value: Bytes::from(shared.settings.peer_address.to_string()),
-        lease: Some(lease),
+        lease: Some(lease.id),
     };
-    let write = shared.store.write(Vec::new(), vec![put], Vec::new());
+    let write = shared
+        .store
+        .write(lease.era, Vec::new(), vec![put], Vec::new());
     match track_store_call(shared, write).await? {
         WriteOutcome::Committed(_) => Ok(lease),
         WriteOutcome::Conflict | WriteOutcome::LeaseEnded => Err(PlatformError::LeaseEnded),
@@ -128,21 +146,33 @@
 /// Replaces the known gateways and the state of the planner lease by all keys of the gateways.
 pub(crate) fn replace_members(shared: &GatewayShared, items: &[KeyValue]) {
     let members: BTreeMap<InstanceId, SocketAddr> = items.iter().filter_map(parse_member).collect();
-    let count = members.len();
+    let planner_item = items.iter().find(|item| item.key == PLANNER_KEY);
+    let planner_key = planner_item.map_or(PlannerKey::Absent, |item| planner_key(shared, item));
     let mut state = shared.lock();
-    state.planner_is_free = items.iter().all(|item| item.key != PLANNER_KEY);
+    state.planner_key = planner_key;
+    let count = members.len();
     let before = std::mem::replace(&mut state.members, members).len();
     drop(state);
     log_gateway_count(shared, before, count);
 }
 
+fn planner_key(shared: &GatewayShared, item: &KeyValue) -> PlannerKey {
+    if item.value == shared.settings.instance.as_str() {
+        PlannerKey::Own(item.revision)
+    } else {
+        PlannerKey::Other
+    }
+}
+
 /// Applies a change of a gateway's member key or of the planner lease.
 pub(crate) fn apply_member_change(shared: &GatewayShared, change: &KeyChange) {
     let mut state = shared.lock();
     let before = state.members.len();
     match change {
-        KeyChange::Written(item) if item.key == PLANNER_KEY => state.planner_is_free = false,
-        KeyChange::Removed(key) if key == PLANNER_KEY => state.planner_is_free = true,
+        KeyChange::Written(item) if item.key == PLANNER_KEY => {
+            state.planner_key = planner_key(shared, item);
+        }
+        KeyChange::Removed(key) if key == PLANNER_KEY => state.planner_key = PlannerKey::Absent,
         KeyChange::Written(item) => state.members.extend(parse_member(item)),
         KeyChange::Removed(key) => {
             let instance_name = key.strip_prefix(MEMBER_PREFIX).unwrap_or_default();
@@ -164,10 +194,7 @@
     }
 }
 
-async fn try_acquire_planner_lease(
-    shared: &GatewayShared,
-    held: &mut HeldLeases,
-) -> Result<(), PlatformError> {
+async fn try_acquire_planner_lease(shared: &GatewayShared) -> Result<(), PlatformError> {
     let sent_at = boot_time();
     let lease = track_store_call(shared, shared.store.open_lease(PLANNER_LEASE_TTL)).await?;
     let unheld_key = KeyPrecondition {
@@ -177,19 +204,15 @@
     let put = KeyPut {
         key: PLANNER_KEY.into(),
         value: Bytes::from(shared.settings.instance.to_string()),
-        lease: Some(lease),
+        lease: Some(lease.id),
     };
-    let write = shared.store.write(vec![unheld_key], vec![put], Vec::new());
+    let write = shared
+        .store
+        .write(lease.era, vec![unheld_key], vec![put], Vec::new());
     let outcome = track_store_call(shared, write).await;
-    if let Ok(WriteOutcome::Committed(revision)) = outcome {
-        held.planner = Some(lease);
-        // The store's revisions increase, so a later lease holder gets a higher fencing token.
-        shared
-            .lock()
-            .order_lease
-            .record_acquired(sent_at, EpochNumber(revision));
-        let record = DecisionRecord::new(DecisionKind::Lease, "planner lease acquired");
-        shared.log.write(record.chosen(revision));
+    if let Ok(WriteOutcome::Committed(revision)) = outcome
+        && record_planner_lease(shared, sent_at, lease, revision)
+    {
         return Ok(());
     }
     // A write whose response was lost may still take effect, but not once its lease has ended.
@@ -197,29 +220,95 @@
     outcome.map(|_| ())
 }
 
-async fn renew_planner_lease(
+/// Records the planner lease with its fencing token. Returns false if it is void.
+fn record_planner_lease(
     shared: &GatewayShared,
-    held: &mut HeldLeases,
-) -> Result<(), PlatformError> {
-    let Some(lease) = held.planner else {
+    sent_at: BootTime,
+    lease: StoreLease,
+    revision: StoreRevision,
+) -> bool {
+    let mut state = shared.lock();
+    let is_current = state.era.is_current(revision.era);
+    // The store's revisions increase, so a later lease holder gets a higher fencing token.
+    let valid_epoch = is_current.then_some(EpochNumber(revision.number));
+    if let Some(epoch) = valid_epoch {
+        state.leases.planner = Some(lease);
+        state.order_lease.record_acquired(sent_at, epoch);
+    }
+    drop(state);
+    let record = match valid_epoch {
+        Some(epoch) => {
+            let record = DecisionRecord::new(DecisionKind::Lease, "planner lease acquired");
+            record.chosen(epoch)
+        }
+        None => DecisionRecord::new(DecisionKind::Lease, "planner lease is void").failure(),
+    };
+    shared
+        .log
+        .write(record.input("store_revision", revision.to_string()));
+    valid_epoch.is_some()
+}
+
+/// Removes the planner key of this gateway that belongs to none of its leases. A write that was
+/// executed after the store came back from an earlier copy may have put it under the lease of another
+/// gateway, which has been given the same id.
+async fn remove_unheld_key(shared: &GatewayShared, revision: u64) -> Result<(), PlatformError> {
+    let era = shared.lock().era.era;
+    let key = KeyPrecondition {
+        key: PLANNER_KEY.into(),
+        revision,
+    };
+    let write = shared
+        .store
+        .write(era, vec![key], Vec::new(), vec![PLANNER_KEY.into()]);
+    let is_removed = matches!(
+        track_store_call(shared, write).await?,
+        WriteOutcome::Committed(_)
+    );
+    // The watch tells of the next change of the key.
+    let mut state = shared.lock();
+    if state.planner_key == PlannerKey::Own(revision) && state.era.is_current(era) {
+        state.planner_key = PlannerKey::Unknown;
+    }
+    drop(state);
+    if is_removed {
+        let reason = "planner key without a lease removed";
+        let record = DecisionRecord::new(DecisionKind::Lease, reason);
+        shared.log.write(record.input("store_revision", revision));
+    }
+    Ok(())
+}
+
+async fn renew_planner_lease(shared: &GatewayShared) -> Result<(), PlatformError> {
+    let Some(lease) = shared.lock().leases.planner else {
         return Ok(());
     };
     if shared.is_draining() {
-        record_planner_lease_lost(shared, held, "gateway is draining");
-        return track_store_call(shared, shared.store.end_lease(lease)).await;
+        record_planner_lease_lost(shared, "gateway is draining");
+        // The renewal tells whether the lease id has been given to another gateway in the next era.
+        if track_store_call(shared, shared.store.renew_lease(lease)).await? {
+            track_store_call(shared, shared.store.end_lease(lease)).await?;
+        }
+        return Ok(());
     }
     let sent_at = boot_time();
-    if track_store_call(shared, shared.store.renew_lease(lease)).await? {
+    let is_renewed = track_store_call(shared, shared.store.renew_lease(lease)).await?;
+    if shared.lock().leases.planner != Some(lease) {
+        return Ok(());
+    }
+    if is_renewed {
         shared.lock().order_lease.record_renewed(sent_at);
     } else {
-        record_planner_lease_lost(shared, held, "lease expired");
+        record_planner_lease_lost(shared, "lease expired");
     }
     Ok(())
 }
 
-fn record_planner_lease_lost(shared: &GatewayShared, held: &mut HeldLeases, reason: &str) {
-    held.planner = None;
-    shared.lock().order_lease.record_lost();
+fn record_planner_lease_lost(shared: &GatewayShared, reason: &str) {
+    let mut state = shared.lock();
+    state.leases.planner = None;
+    state.order_lease.record_lost();
+    drop(state);
     let record = DecisionRecord::new(DecisionKind::Lease, "planner lease lost");
     shared.log.write(record.input("cause", reason).failure());
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -36,15 +36,21 @@
 use tokio::time::Instant;
 use units::{
     InstanceId,
-    ServiceName, //
+    ServiceName,
+    StoreEra, //
 };
 use web::{
     ConnectionLimits,
     ConnectionPool, //
 };
 
-use crate::membership::PLANNER_LEASE_TTL;
+use crate::membership::{
+    HeldLeases,
+    PLANNER_LEASE_TTL,
+    PlannerKey, //
+};
 use crate::metrics::GatewayMetrics;
+use crate::store_era::EraState;
 use crate::suspect_news::SuspectNews;
 
 /// Timeout of one store call.
@@ -85,8 +91,10 @@
     /// Addresses of all gateways for load reports, including this one. All gateways share the retry
     /// limits.
     pub(crate) members: BTreeMap<InstanceId, SocketAddr>,
-    /// Whether no gateway holds the planner lease, according to the watch on the store.
-    pub(crate) planner_is_free: bool,
+    /// Key of the planner lease, according to the watch on the store.
+    pub(crate) planner_key: PlannerKey,
+    /// Leases that this gateway holds in the store.
+    pub(crate) leases: HeldLeases,
     /// Latest load reports of the other gateways.
     pub(crate) peer_loads: PeerLoads,
     /// Requests that were running on backend servers that crashed.
@@ -103,6 +111,8 @@
     pub(crate) draining_since: Option<Instant>,
     /// Availability of the store.
     pub(crate) store_health: StoreHealth,
+    /// Era of the store that this state belongs to.
+    pub(crate) era: EraState,
 }
 
 fn retry_limits(settings: &GatewaySettings) -> RetryLimits {
@@ -125,6 +135,8 @@
     pub(crate) suspect_reports: Notify,
     /// Wakes the task that writes evidence on suspects to the store.
     pub(crate) suspect_writes: Notify,
+    /// Era of the store, sent when it rises.
+    pub(crate) eras: watch::Sender<Option<StoreEra>>,
     state: Mutex<GatewayState>,
     /// Idle connections to backend servers.
     pool: Mutex<ConnectionPool>,
@@ -144,7 +156,8 @@
                 retry_budgets: BTreeMap::new(),
                 speeds: BTreeMap::new(),
                 members: BTreeMap::new(),
-                planner_is_free: false,
+                planner_key: PlannerKey::Unknown,
+                leases: HeldLeases::default(),
                 peer_loads: PeerLoads::default(),
                 suspects: SuspectRegistry::new(SuspectLimits::SHARING),
                 suspect_news: SuspectNews::default(),
@@ -153,9 +166,11 @@
                 draining_since: None,
                 order_lease: OrderLease::new(PLANNER_LEASE_TTL, settle_time),
                 store_health: StoreHealth::default(),
+                era: EraState::default(),
             }),
             suspect_reports: Notify::new(),
             suspect_writes: Notify::new(),
+            eras: watch::Sender::new(None),
             pool: Mutex::new(ConnectionPool::default()),
             settings,
         }
--- /dev/null
+++ b/crates/gateway/src/store_era.rs
@@ -0,0 +1,83 @@
+//! Era of the platform's store: what a gateway remembers from the store ends when the era rises.
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use tokio::time::Instant;
+use units::StoreEra;
+
+use crate::membership::{
+    HeldLeases,
+    PlannerKey, //
+};
+use crate::shared::{
+    GatewayShared,
+    GatewayState, //
+};
+
+/// Era that the state of a gateway belongs to.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct EraState {
+    /// Era, or `None` while the store has not told it.
+    pub(crate) era: Option<StoreEra>,
+    /// Time of the latest response to a store call in this era.
+    answered_at: Option<Instant>,
+}
+
+impl EraState {
+    /// Returns whether something learned in `era` still holds. An unknown era never ends.
+    pub(crate) fn is_current(&self, era: Option<StoreEra>) -> bool {
+        era.is_none() || era == self.era
+    }
+}
+
+/// Compares the era of the store's responses with that of the state, and voids what the state holds
+/// from an earlier era. Runs after each store call, before its result is used; `is_answered` tells
+/// whether the call got a response.
+pub(crate) fn observe_era(shared: &GatewayShared, is_answered: bool) {
+    let Some(era) = shared.store.era() else {
+        return;
+    };
+    let now = Instant::now();
+    let mut state = shared.lock();
+    let answered_at = state.era.answered_at;
+    if is_answered {
+        state.era.answered_at = Some(now);
+    }
+    if state.era.era >= Some(era) {
+        return;
+    }
+    let Some(before) = state.era.era.replace(era) else {
+        void_leases(&mut state);
+        return;
+    };
+    let was_planner = state.order_lease.is_held();
+    void_earlier_era(&mut state);
+    drop(state);
+    let reason = "store came back from an earlier copy; its keys are read and written again";
+    let record = DecisionRecord::new(DecisionKind::Dependency, reason)
+        .chosen(era)
+        .input("era_before", before.0)
+        .input("era", era.0)
+        .input(
+            "age_ms",
+            answered_at.map(|at| (now - at).as_millis() as u64),
+        )
+        .input("was_planner", was_planner)
+        .failure();
+    shared.log.write(record);
+    shared.eras.send_replace(Some(era));
+}
+
+/// Voids all revisions and leases. Keeps what does not depend on them: the configuration, whose
+/// version never goes back and the evidence on suspects.
+fn void_earlier_era(state: &mut GatewayState) {
+    void_leases(state);
+    state.planner_key = PlannerKey::Unknown;
+}
+
+fn void_leases(state: &mut GatewayState) {
+    state.leases = HeldLeases::default();
+    state.order_lease.record_lost();
+}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -13,28 +13,29 @@
     BACKEND_PREFIX,
     CONFIG_KEY,
     KeyChange,
+    KeyRange,
     KeyValue,
     PlatformError,
-    parse_backend,
+    StoreRevision,
     parse_configuration, //
 };
-use policy::{
-    BackendChange,
-    BackendRecord, //
-};
 use tokio::time::{
     Instant,
     sleep, //
 };
-use units::InstanceId;
 use web::ConnectionLimits;
 
+use crate::backend_entries::{
+    apply_backend_change,
+    replace_backends, //
+};
 use crate::membership::{
     GATEWAY_PREFIX,
     apply_member_change,
     replace_members, //
 };
 use crate::shared::GatewayShared;
+use crate::store_era::observe_era;
 use crate::suspect_record::SUSPECT_PREFIX;
 use crate::suspect_store::{
     apply_suspect_change,
@@ -49,47 +50,76 @@
 const BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Delay after a failed store call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Interval between checks for entries that did not come back.
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Keeps the gateway's copy of the store's keys current, until aborted.
 pub(crate) async fn watch_store(shared: Arc<GatewayShared>) {
+    let mut eras = shared.eras.subscribe();
     let mut revision = None;
     loop {
-        let result = match revision {
+        eras.mark_unchanged();
+        let known = revision.filter(|revision| is_current(&shared, revision));
+        let result = match known {
             None => load_all(&shared).await,
-            Some(after) => watch_changes(&shared, after).await,
+            // A watch of an earlier era may be left without a response.
+            Some(known) => tokio::select! {
+                result = watch_changes(&shared, known) => result,
+                _ = eras.changed() => Err(PlatformError::EraEnded),
+            },
         };
         match result {
             Ok(next) => revision = Some(next),
-            Err(PlatformError::HistoryGone) => revision = None,
+            Err(PlatformError::HistoryGone | PlatformError::EraEnded) => revision = None,
             Err(_) => sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Returns whether the watch may continue from a revision.
+fn is_current(shared: &GatewayShared, revision: &StoreRevision) -> bool {
+    shared.lock().era.is_current(revision.era)
+}
+
 /// Loads all keys and returns the revision from which to watch. This is the revision of the first
 /// read, so that the watch returns every change made between the reads.
-async fn load_all(shared: &GatewayShared) -> Result<u64, PlatformError> {
+async fn load_all(shared: &GatewayShared) -> Result<StoreRevision, PlatformError> {
     // Without the suspects, a new gateway would run a request that others refuse; it serves none
     // before it has a configuration.
-    let members = track_store_call(shared, shared.store.range(GATEWAY_PREFIX)).await?;
+    let members = load_range(shared, GATEWAY_PREFIX).await?;
     replace_members(shared, &members.items);
     replace_suspects(shared, &members.items);
-    let config = track_store_call(shared, shared.store.range(CONFIG_KEY)).await?;
+    let config = load_range(shared, CONFIG_KEY).await?;
     config
         .items
         .iter()
         .for_each(|item| apply_config(shared, item));
-    let backends = track_store_call(shared, shared.store.range(BACKEND_PREFIX)).await?;
+    let backends = load_range(shared, BACKEND_PREFIX).await?;
     replace_backends(shared, &backends.items);
     Ok(members.revision)
 }
 
+async fn load_range(shared: &GatewayShared, prefix: &str) -> Result<KeyRange, PlatformError> {
+    let range = track_store_call(shared, shared.store.range(prefix)).await?;
+    check_era(shared, range.revision)?;
+    Ok(range)
+}
+
+/// Fails if the era has risen since a response was made.
+fn check_era(shared: &GatewayShared, revision: StoreRevision) -> Result<(), PlatformError> {
+    if shared.lock().era.is_current(revision.era) {
+        Ok(())
+    } else {
+        Err(PlatformError::EraEnded)
+    }
+}
+
 /// Waits for changes after a revision, applies them and returns the revision from which to continue.
-async fn watch_changes(shared: &GatewayShared, after: u64) -> Result<u64, PlatformError> {
+async fn watch_changes(
+    shared: &GatewayShared,
+    after: StoreRevision,
+) -> Result<StoreRevision, PlatformError> {
     let watch = shared.store.watch("", after, WATCH_TIMEOUT);
     let updates = track_store_call(shared, watch).await?;
+    check_era(shared, updates.revision)?;
     let is_empty = updates.changes.is_empty();
     for change in updates.changes {
         apply_change(shared, change);
@@ -121,7 +151,7 @@
     let sent_at = Instant::now();
     let result = count_store_call(shared, call).await;
     let error = match &result {
-        Ok(_) | Err(PlatformError::HistoryGone) => None,
+        Ok(_) | Err(PlatformError::HistoryGone | PlatformError::EraEnded) => None,
         Err(error) => Some(error.to_string()),
     };
     record_store_result(shared, sent_at, error);
@@ -135,8 +165,10 @@
     call: impl Future<Output = Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
     let result = call.await;
+    let is_answered = !matches!(result, Err(PlatformError::Http { .. }));
+    observe_era(shared, is_answered);
     let outcome = match &result {
-        Ok(_) | Err(PlatformError::HistoryGone) => "answered",
+        Ok(_) | Err(PlatformError::HistoryGone | PlatformError::EraEnded) => "answered",
         Err(_) => "failed",
     };
     let calls = &shared.metrics.store_calls;
@@ -203,84 +235,3 @@
         .input("routes", routes);
     shared.log.write(record);
 }
-
-/// Returns whether removed entries may come back.
-fn entries_may_return(shared: &GatewayShared, now: Instant) -> bool {
-    shared.lock().store_health.entries_may_return(now)
-}
-
-fn replace_backends(shared: &GatewayShared, items: &[KeyValue]) {
-    let now = Instant::now();
-    let may_return = entries_may_return(shared, now);
-    let parsed_records = items.iter().filter_map(|item| parse_or_log(shared, item));
-    let records = parsed_records.collect();
-    let changes = shared.lock().fleet.replace(now, records, may_return);
-    for (instance, change) in changes {
-        record_backend_change(shared, &instance, change);
-    }
-}
-
-fn parse_or_log(shared: &GatewayShared, item: &KeyValue) -> Option<BackendRecord> {
-    match parse_backend(&item.key, &item.value) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            let record = DecisionRecord::new(DecisionKind::Backend, error.to_string());
-            let record = record.input("revision", item.revision);
-            shared.log.write(record.input("key", item.key.as_str()));
-            None
-        }
-    }
-}
-
-fn apply_backend_change(shared: &GatewayShared, change: KeyChange) {
-    let now = Instant::now();
-    let instance_name = change.key().strip_prefix(BACKEND_PREFIX);
-    let Some(Ok(instance)) = instance_name.map(str::parse::<InstanceId>) else {
-        return;
-    };
-    let applied_change = match change {
-        KeyChange::Written(item) => match parse_or_log(shared, &item) {
-            Some(record) => shared.lock().fleet.upsert(record),
-            // Treats an invalid entry as removed, in the same way as `replace_backends`.
-            None => shared.lock().fleet.remove(now, &instance, false),
-        },
-        KeyChange::Removed(_) => {
-            let may_return = entries_may_return(shared, now);
-            shared.lock().fleet.remove(now, &instance, may_return)
-        }
-    };
-    if let Some(change) = applied_change {
-        record_backend_change(shared, &instance, change);
-    }
-}
-
-fn record_backend_change(shared: &GatewayShared, instance: &InstanceId, change: BackendChange) {
-    if change == BackendChange::Gone {
-        shared.metrics.latencies.remove_server(instance);
-    }
-    log_backend_change(shared, instance, change.as_str());
-}
-
-fn log_backend_change(shared: &GatewayShared, instance: &InstanceId, change: &str) {
-    let record = DecisionRecord::new(DecisionKind::Backend, change);
-    shared.log.write(record.chosen(instance));
-}
-
-/// Removes backend servers whose entries did not come back, and closes expired idle connections,
-/// until aborted.
-pub(crate) async fn expire_backends(shared: Arc<GatewayShared>) {
-    loop {
-        sleep(EXPIRY_INTERVAL).await;
-        let now = Instant::now();
-        let mut guard = shared.lock();
-        let state = &mut *guard;
-        let all_restored = state.store_health.has_restored_entries(now);
-        let expired_instances = state.fleet.expire(now, all_restored);
-        drop(guard);
-        for instance in expired_instances {
-            shared.metrics.latencies.remove_server(&instance);
-            log_backend_change(&shared, &instance, "entry_did_not_return");
-        }
-        shared.pool().remove_expired(now);
-    }
-}
--- a/crates/gateway/src/suspect_store.rs
+++ b/crates/gateway/src/suspect_store.rs
@@ -24,7 +24,10 @@
     sleep,
     timeout_at, //
 };
-use units::FingerprintId;
+use units::{
+    FingerprintId,
+    StoreEra, //
+};
 
 use crate::crash_suspects::log_merged;
 use crate::shared::GatewayShared;
@@ -84,6 +87,7 @@
 
 /// Records to be written in one transaction.
 struct RecordBatch {
+    era: Option<StoreEra>,
     fingerprints: Vec<FingerprintId>,
     preconditions: Vec<KeyPrecondition>,
     puts: Vec<KeyPut>,
@@ -115,6 +119,7 @@
         });
     }
     RecordBatch {
+        era: state.era.era,
         fingerprints,
         preconditions,
         puts,
@@ -129,14 +134,17 @@
     }
     let write = shared
         .store
-        .write(batch.preconditions, batch.puts, Vec::new());
+        .write(batch.era, batch.preconditions, batch.puts, Vec::new());
     let outcome = count_store_call(shared, write).await;
     if let Ok(WriteOutcome::Committed(revision)) = outcome {
         let mut state = shared.lock();
-        for fingerprint in batch.fingerprints {
-            state.suspect_news.set_revision(fingerprint, revision);
+        if state.era.is_current(revision.era) {
+            for fingerprint in batch.fingerprints {
+                let number = revision.number;
+                state.suspect_news.set_revision(fingerprint, number);
+            }
+            return Ok(());
         }
-        return Ok(());
     }
     let now = Instant::now();
     // The response may also have been lost after the write took effect.
@@ -155,6 +163,7 @@
 ) {
     let reason = "evidence on crash suspects not written; it is written again";
     let cause = match outcome {
+        Ok(WriteOutcome::Committed(_)) => PlatformError::EraEnded.to_string(),
         Ok(_) => "another gateway has written a record".to_owned(),
         Err(error) => error.to_string(),
     };
@@ -166,6 +175,9 @@
 /// Reads all records again after a conflict.
 async fn reload_suspects(shared: &GatewayShared) -> Result<(), PlatformError> {
     let range = count_store_call(shared, shared.store.range(SUSPECT_PREFIX)).await?;
+    if !shared.lock().era.is_current(range.revision.era) {
+        return Err(PlatformError::EraEnded);
+    }
     replace_suspects(shared, &range.items);
     Ok(())
 }
@@ -238,7 +250,7 @@
 
 /// Removes records without effect. One gateway does so for each record.
 async fn remove_expired(shared: &GatewayShared) -> Result<(), PlatformError> {
-    let preconditions = take_expired(shared);
+    let (era, preconditions) = take_expired(shared);
     if preconditions.is_empty() {
         return Ok(());
     }
@@ -246,7 +258,7 @@
         .iter()
         .map(|precondition| precondition.key.clone());
     let keys = keys.collect();
-    let write = shared.store.write(preconditions, Vec::new(), keys);
+    let write = shared.store.write(era, preconditions, Vec::new(), keys);
     match count_store_call(shared, write).await? {
         WriteOutcome::Committed(_) => Ok(()),
         WriteOutcome::Conflict | WriteOutcome::LeaseEnded => reload_suspects(shared).await,
@@ -254,7 +266,7 @@
 }
 
 /// Forgets suspects without a record in the store, and returns the records that this gateway removes.
-fn take_expired(shared: &GatewayShared) -> Vec<KeyPrecondition> {
+fn take_expired(shared: &GatewayShared) -> (Option<StoreEra>, Vec<KeyPrecondition>) {
     let own_instance = &shared.settings.instance;
     let mut guard = shared.lock();
     let state = &mut *guard;
@@ -273,5 +285,5 @@
             });
         }
     }
-    removals
+    (state.era.era, removals)
 }
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -94,6 +94,10 @@
     /// Number of pieces (fixed-size blocks) of an engine's KV cache memory.
     PieceCount(u32) => "piece count";
     #[derive(Eq, Ord, Hash)]
+    /// Number of the copy that the platform's store runs on. It rises when the store comes back
+    /// from an earlier copy, which ends all revisions and leases.
+    StoreEra(u64) => "store era";
+    #[derive(Eq, Ord, Hash)]
     /// Number of tokens of a prompt or an output.
     TokenCount(u32) => "token count";
     #[derive(Eq, Ord, Hash)]
