gateway: fencing tokens rise with the store's era

The fencing token of the planner was the store's revision at which its lease key was written. Revisions go back when the store comes back from an earlier copy, so that the orders of the next planner had a lower token than those of the one before.

A token now holds the era from 2^40 on and the revision below, which is above any token of the same or an earlier era and above a revision alone. When the era rises, and when a gateway first sees one, it sends no order for the lifetime of the lease, in which a holder that does not know yet may still send some.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -21,15 +21,15 @@
     StoreRevision,
     WriteOutcome, //
 };
-use policy::BootTime;
+use policy::{
+    BootTime,
+    planner_epoch, //
+};
 use tokio::time::{
     Instant,
     timeout, //
 };
-use units::{
-    EpochNumber,
-    InstanceId, //
-};
+use units::InstanceId;
 
 use crate::shared::GatewayShared;
 use crate::store_watch::track_store_call;
@@ -227,10 +227,9 @@
     lease: StoreLease,
     revision: StoreRevision,
 ) -> bool {
+    let epoch = planner_epoch(revision.era, revision.number);
     let mut state = shared.lock();
-    let is_current = state.era.is_current(revision.era);
-    // The store's revisions increase, so a later lease holder gets a higher fencing token.
-    let valid_epoch = is_current.then_some(EpochNumber(revision.number));
+    let valid_epoch = epoch.filter(|_| state.era.is_current(revision.era));
     if let Some(epoch) = valid_epoch {
         state.leases.planner = Some(lease);
         state.order_lease.record_acquired(sent_at, epoch);
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -1,5 +1,6 @@
 //! Era of the platform's store: what a gateway remembers from the store ends when the era rises.
 
+use host::boot_time;
 use logs::{
     DecisionKind,
     DecisionRecord, //
@@ -49,6 +50,7 @@
         return;
     }
     let Some(before) = state.era.era.replace(era) else {
+        // The era may have risen just before this gateway started.
         void_leases(&mut state);
         return;
     };
@@ -79,5 +81,5 @@
 
 fn void_leases(state: &mut GatewayState) {
     state.leases = HeldLeases::default();
-    state.order_lease.record_lost();
+    state.order_lease.record_leases_lost(boot_time());
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -97,6 +97,7 @@
 pub use order_lease::BootTime;
 pub use order_lease::OrderLease;
 pub use order_lease::PendingOrders;
+pub use order_lease::planner_epoch;
 pub use peer_load::PeerLoads;
 pub use prefill_backlog::PrefillBacklog;
 pub use prefill_backlog::QueuePosition;
--- a/crates/policy/src/order_lease.rs
+++ b/crates/policy/src/order_lease.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 use units::{
     EpochNumber,
-    InstanceId, //
+    InstanceId,
+    StoreEra, //
 };
 
 use crate::EngineStage;
@@ -14,6 +15,23 @@
 /// Share of the lease's lifetime that is left unused, to allow for delayed orders and clock drift.
 const UNUSED_LIFETIME_SHARE: f64 = 0.3;
 
+/// Number of revisions that the store gives out in one era at most. The latest epochs stay below
+/// 2^53, which JSON parsers with floating-point numbers read exactly.
+const ERA_REVISIONS: u64 = 1 << 40;
+
+/// Returns the epoch of a planner whose lease key was written at a store revision, or `None` if the
+/// numbers are too large for one.
+///
+/// Epochs rise with the era first, since revisions are given out again in the next era. The epoch in
+/// an unknown era is the revision alone.
+pub fn planner_epoch(era: Option<StoreEra>, revision: u64) -> Option<EpochNumber> {
+    if revision >= ERA_REVISIONS {
+        return None;
+    }
+    let first = era.unwrap_or_default().0.checked_mul(ERA_REVISIONS)?;
+    first.checked_add(revision).map(EpochNumber)
+}
+
 /// Time since an arbitrary fixed moment, on a clock that also advances while the instance is
 /// suspended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,6 +53,7 @@
     lifetime: Duration,
     settle_time: Duration,
     held: Option<HeldLease>,
+    suspended_until: Option<BootTime>,
 }
 
 impl OrderLease {
@@ -45,6 +64,7 @@
             lifetime,
             settle_time,
             held: None,
+            suspended_until: None,
         }
     }
 
@@ -69,6 +89,13 @@
         self.held = None;
     }
 
+    /// Records that the store may have lost leases before `now`. Gives the lease up and allows no
+    /// order until the lease of a holder that does not know of it has expired.
+    pub fn record_leases_lost(&mut self, now: BootTime) {
+        self.held = None;
+        self.suspended_until = Some(BootTime(now.0 + self.lifetime));
+    }
+
     /// Returns whether the lease was acquired and is not known to be lost. A lease that has expired
     /// unnoticed counts as held.
     pub fn is_held(&self) -> bool {
@@ -81,7 +108,8 @@
         let usable_lifetime = self.lifetime.mul_f64(1.0 - UNUSED_LIFETIME_SHARE);
         let has_settled = now.0 >= held.acquired_at.0 + self.settle_time;
         let is_current = now.0 < held.renewed_at.0 + usable_lifetime;
-        (has_settled && is_current).then_some(held.epoch)
+        let is_suspended = self.suspended_until.is_some_and(|until| now < until);
+        (has_settled && is_current && !is_suspended).then_some(held.epoch)
     }
 }
 
