gateway: records of crash suspects are written again in the next era

Records that were written since the copy was made are gone, and a revision of one may match that of another gateway's record, which a write then replaces.

When the era rises, all revisions are forgotten and the suspects that had records are queued for the store; the records in the copy and those of other gateways are merged as after a conflict.

--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -55,7 +55,7 @@
         return;
     };
     let was_planner = state.order_lease.is_held();
-    void_earlier_era(&mut state);
+    let records = void_earlier_era(&mut state, now);
     drop(state);
     let reason = "store came back from an earlier copy; its keys are read and written again";
     let record = DecisionRecord::new(DecisionKind::Dependency, reason)
@@ -67,16 +67,19 @@
             answered_at.map(|at| (now - at).as_millis() as u64),
         )
         .input("was_planner", was_planner)
+        .input("suspects", records)
         .failure();
     shared.log.write(record);
     shared.eras.send_replace(Some(era));
+    shared.suspect_writes.notify_one();
 }
 
 /// Voids all revisions and leases. Keeps what does not depend on them: the configuration, whose
-/// version never goes back and the evidence on suspects.
-fn void_earlier_era(state: &mut GatewayState) {
+/// version never goes back and the evidence on suspects. Returns the number of records to be written again.
+fn void_earlier_era(state: &mut GatewayState, now: Instant) -> usize {
     void_leases(state);
     state.planner_key = PlannerKey::Unknown;
+    state.suspect_news.void_revisions(now)
 }
 
 fn void_leases(state: &mut GatewayState) {
--- a/crates/gateway/src/suspect_news.rs
+++ b/crates/gateway/src/suspect_news.rs
@@ -116,6 +116,16 @@
         self.revisions.remove(&fingerprint);
     }
 
+    /// Forgets all revisions, and queues the suspects that had records for the store. Returns their
+    /// number.
+    pub(crate) fn void_revisions(&mut self, now: Instant) -> usize {
+        let recorded = std::mem::take(&mut self.revisions);
+        for fingerprint in recorded.keys() {
+            self.write(now, *fingerprint);
+        }
+        recorded.len()
+    }
+
     /// Returns the suspects that have records in the store.
     pub(crate) fn recorded(&self) -> Vec<FingerprintId> {
         self.revisions.keys().copied().collect()
