gateway: entries of backend servers in an earlier copy are not taken as news

A copy of the store lacks the entries of servers that registered since, holds those of servers that have left, and says of some that drain that they do not. A server without an entry was dropped before it had written it again, and one that had left or drained got requests.

--- a/crates/gateway/src/backend_entries.rs
+++ b/crates/gateway/src/backend_entries.rs
@@ -15,7 +15,8 @@
 };
 use policy::{
     BackendChange,
-    BackendRecord, //
+    BackendRecord,
+    apply_restored_entries, //
 };
 use tokio::time::{
     Instant,
@@ -39,7 +40,15 @@
     let may_return = entries_may_return(shared, now);
     let parsed_records = items.iter().filter_map(|item| parse_or_log(shared, item));
     let records = parsed_records.collect();
-    let changes = shared.lock().fleet.replace(now, records, may_return);
+    let mut guard = shared.lock();
+    let state = &mut *guard;
+    let outdated_until = state.store_health.outdated_until();
+    let changes = if outdated_until.is_some_and(|until| now < until) {
+        apply_restored_entries(&mut state.fleet, now, records)
+    } else {
+        state.fleet.replace(now, records, may_return)
+    };
+    drop(guard);
     for (instance, change) in changes {
         record_backend_change(shared, &instance, change);
     }
@@ -101,7 +110,12 @@
         let mut guard = shared.lock();
         let state = &mut *guard;
         let all_restored = state.store_health.has_restored_entries(now);
-        let expired_instances = state.fleet.expire(now, all_restored);
+        let outdated_until = state.store_health.outdated_until();
+        let expired_instances = match outdated_until {
+            // Entries are written again until then.
+            Some(until) if now < until => Vec::new(),
+            _ => state.fleet.expire(now, all_restored),
+        };
         drop(guard);
         for instance in expired_instances {
             shared.metrics.latencies.remove_server(&instance);
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -5,6 +5,7 @@
     DecisionKind,
     DecisionRecord, //
 };
+use policy::StoreHealth;
 use tokio::time::Instant;
 use units::StoreEra;
 
@@ -75,10 +76,12 @@
 }
 
 /// Voids all revisions and leases. Keeps what does not depend on them: the configuration, whose
-/// version never goes back and the evidence on suspects. Returns the number of records to be written again.
+/// version never goes back, the evidence on suspects and the backend servers, until these had time
+/// to write their entries again. Returns the number of records to be written again.
 fn void_earlier_era(state: &mut GatewayState, now: Instant) -> usize {
     void_leases(state);
     state.planner_key = PlannerKey::Unknown;
+    state.store_health.record_restored(now);
     state.suspect_news.void_revisions(now)
 }
 
@@ -86,3 +89,9 @@
     state.leases = HeldLeases::default();
     state.order_lease.record_leases_lost(boot_time());
 }
+
+/// Returns when all keys that were read at `loaded_at` are to be read again, so that what was kept
+/// after the store's return from an earlier copy goes if it is not in the store by then.
+pub(crate) fn next_load(health: &StoreHealth, loaded_at: Instant) -> Option<Instant> {
+    health.outdated_until().filter(|due| loaded_at < *due)
+}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -35,7 +35,10 @@
     replace_members, //
 };
 use crate::shared::GatewayShared;
-use crate::store_era::observe_era;
+use crate::store_era::{
+    next_load,
+    observe_era, //
+};
 use crate::suspect_record::SUSPECT_PREFIX;
 use crate::suspect_store::{
     apply_suspect_change,
@@ -51,13 +54,20 @@
 /// Delay after a failed store call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Revision up to which changes are applied, and the time of the latest load of all keys.
+#[derive(Debug, Clone, Copy)]
+struct WatchPosition {
+    revision: StoreRevision,
+    loaded_at: Instant,
+}
+
 /// Keeps the gateway's copy of the store's keys current, until aborted.
 pub(crate) async fn watch_store(shared: Arc<GatewayShared>) {
     let mut eras = shared.eras.subscribe();
-    let mut revision = None;
+    let mut position = None;
     loop {
         eras.mark_unchanged();
-        let known = revision.filter(|revision| is_current(&shared, revision));
+        let known = position.filter(|position| is_current(&shared, position));
         let result = match known {
             None => load_all(&shared).await,
             // A watch of an earlier era may be left without a response.
@@ -67,21 +77,24 @@
             },
         };
         match result {
-            Ok(next) => revision = Some(next),
-            Err(PlatformError::HistoryGone | PlatformError::EraEnded) => revision = None,
+            Ok(next) => position = Some(next),
+            Err(PlatformError::HistoryGone | PlatformError::EraEnded) => position = None,
             Err(_) => sleep(RETRY_DELAY).await,
         }
     }
 }
 
-/// Returns whether the watch may continue from a revision.
-fn is_current(shared: &GatewayShared, revision: &StoreRevision) -> bool {
-    shared.lock().era.is_current(revision.era)
+/// Returns whether the watch may continue from a position, and no new load of all keys is due.
+fn is_current(shared: &GatewayShared, position: &WatchPosition) -> bool {
+    let state = shared.lock();
+    let next_load = next_load(&state.store_health, position.loaded_at);
+    state.era.is_current(position.revision.era) && next_load.is_none_or(|at| Instant::now() < at)
 }
 
-/// Loads all keys and returns the revision from which to watch. This is the revision of the first
+/// Loads all keys and returns the position from which to watch. Its revision is that of the first
 /// read, so that the watch returns every change made between the reads.
-async fn load_all(shared: &GatewayShared) -> Result<StoreRevision, PlatformError> {
+async fn load_all(shared: &GatewayShared) -> Result<WatchPosition, PlatformError> {
+    let loaded_at = Instant::now();
     // Without the suspects, a new gateway would run a request that others refuse; it serves none
     // before it has a configuration.
     let members = load_range(shared, GATEWAY_PREFIX).await?;
@@ -94,7 +107,10 @@
         .for_each(|item| apply_config(shared, item));
     let backends = load_range(shared, BACKEND_PREFIX).await?;
     replace_backends(shared, &backends.items);
-    Ok(members.revision)
+    Ok(WatchPosition {
+        revision: members.revision,
+        loaded_at,
+    })
 }
 
 async fn load_range(shared: &GatewayShared, prefix: &str) -> Result<KeyRange, PlatformError> {
@@ -112,12 +128,15 @@
     }
 }
 
-/// Waits for changes after a revision, applies them and returns the revision from which to continue.
+/// Waits for changes after a position, applies them and returns the position from which to continue.
 async fn watch_changes(
     shared: &GatewayShared,
-    after: StoreRevision,
-) -> Result<StoreRevision, PlatformError> {
-    let watch = shared.store.watch("", after, WATCH_TIMEOUT);
+    position: WatchPosition,
+) -> Result<WatchPosition, PlatformError> {
+    let next_load = next_load(&shared.lock().store_health, position.loaded_at);
+    let until_load = next_load.map(|at| at.saturating_duration_since(Instant::now()));
+    let wait = until_load.map_or(WATCH_TIMEOUT, |time| time.min(WATCH_TIMEOUT));
+    let watch = shared.store.watch("", position.revision, wait);
     let updates = track_store_call(shared, watch).await?;
     check_era(shared, updates.revision)?;
     let is_empty = updates.changes.is_empty();
@@ -127,7 +146,10 @@
     if !is_empty {
         sleep(BATCH_DELAY).await;
     }
-    Ok(updates.revision.max(after))
+    Ok(WatchPosition {
+        revision: updates.revision.max(position.revision),
+        ..position
+    })
 }
 
 fn apply_change(shared: &GatewayShared, change: KeyChange) {
--- a/crates/policy/src/store_health.rs
+++ b/crates/policy/src/store_health.rs
@@ -13,6 +13,7 @@
     is_down: bool,
     last_failure: Option<Instant>,
     returned_at: Option<Instant>,
+    restored_at: Option<Instant>,
 }
 
 impl StoreHealth {
@@ -35,6 +36,23 @@
         !std::mem::replace(&mut self.is_down, true)
     }
 
+    /// Records that the store has come back from an earlier copy, which lacks entries.
+    pub fn record_restored(&mut self, now: Instant) {
+        self.returned_at = Some(now);
+        self.restored_at = Some(now);
+    }
+
+    /// Returns when the store was last seen to have come back from an earlier copy.
+    pub fn restored_at(&self) -> Option<Instant> {
+        self.restored_at
+    }
+
+    /// Returns until when the entries in an earlier copy are out of date, if the store has come back
+    /// from one.
+    pub fn outdated_until(&self) -> Option<Instant> {
+        self.restored_at.map(|at| at + ENTRY_RETURN_TIME)
+    }
+
     /// Returns whether a call has failed within `time`.
     pub fn has_failed_within(&self, now: Instant, time: Duration) -> bool {
         self.last_failure.is_some_and(|at| now < at + time)
