gateway: gateways without a member key are kept after the era has risen

The retry limits are shared among the gateways that the store lists. A copy lacks the member keys written since, so that each gateway would have taken a larger share for as long as others had not noticed the loss of their leases.

Known gateways are kept for the lifetime of a member lease; then all keys are read again.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -32,6 +32,7 @@
 use units::InstanceId;
 
 use crate::shared::GatewayShared;
+use crate::store_era::members_may_return;
 use crate::store_watch::track_store_call;
 
 /// Prefix of all keys of the gateways.
@@ -42,7 +43,7 @@
 /// orders stage changes.
 pub(crate) const PLANNER_KEY: &str = "galenarail/planner";
 /// Time to live of the lease of a member key.
-const MEMBER_LEASE_TTL: Duration = Duration::from_secs(20);
+pub(crate) const MEMBER_LEASE_TTL: Duration = Duration::from_secs(20);
 /// Time to live of the planner lease.
 pub(crate) const PLANNER_LEASE_TTL: Duration = Duration::from_secs(4);
 /// Interval between renewals of the planner lease, and between checks whether it is free.
@@ -145,11 +146,17 @@
 
 /// Replaces the known gateways and the state of the planner lease by all keys of the gateways.
 pub(crate) fn replace_members(shared: &GatewayShared, items: &[KeyValue]) {
-    let members: BTreeMap<InstanceId, SocketAddr> = items.iter().filter_map(parse_member).collect();
+    let mut members: BTreeMap<InstanceId, SocketAddr> =
+        items.iter().filter_map(parse_member).collect();
     let planner_item = items.iter().find(|item| item.key == PLANNER_KEY);
     let planner_key = planner_item.map_or(PlannerKey::Absent, |item| planner_key(shared, item));
     let mut state = shared.lock();
     state.planner_key = planner_key;
+    // Each gateway would take a larger share of the retry budgets if others seemed to be gone.
+    if members_may_return(&state.store_health, Instant::now()) {
+        let known = state.members.clone();
+        members = known.into_iter().chain(members).collect();
+    }
     let count = members.len();
     let before = std::mem::replace(&mut state.members, members).len();
     drop(state);
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -1,5 +1,7 @@
 //! Era of the platform's store: what a gateway remembers from the store ends when the era rises.
 
+use std::time::Duration;
+
 use host::boot_time;
 use logs::{
     DecisionKind,
@@ -11,6 +13,7 @@
 
 use crate::membership::{
     HeldLeases,
+    MEMBER_LEASE_TTL,
     PlannerKey, //
 };
 use crate::shared::{
@@ -76,8 +79,8 @@
 }
 
 /// Voids all revisions and leases. Keeps what does not depend on them: the configuration, whose
-/// version never goes back, the evidence on suspects and the backend servers, until these had time
-/// to write their entries again. Returns the number of records to be written again.
+/// version never goes back, the evidence on suspects and the known gateways and backend servers, until
+/// these had time to write their keys again. Returns the number of records to be written again.
 fn void_earlier_era(state: &mut GatewayState, now: Instant) -> usize {
     void_leases(state);
     state.planner_key = PlannerKey::Unknown;
@@ -90,8 +93,20 @@
     state.order_lease.record_leases_lost(boot_time());
 }
 
+/// Time after the store's return from an earlier copy until which gateways without a member key are
+/// kept. Each may notice the loss of its lease as late as the lease would have expired.
+const MEMBER_RETURN_TIME: Duration = MEMBER_LEASE_TTL;
+
+/// Returns whether gateways without a member key are kept.
+pub(crate) fn members_may_return(health: &StoreHealth, now: Instant) -> bool {
+    let restored_at = health.restored_at();
+    restored_at.is_some_and(|at| now < at + MEMBER_RETURN_TIME)
+}
+
 /// Returns when all keys that were read at `loaded_at` are to be read again, so that what was kept
 /// after the store's return from an earlier copy goes if it is not in the store by then.
 pub(crate) fn next_load(health: &StoreHealth, loaded_at: Instant) -> Option<Instant> {
-    health.outdated_until().filter(|due| loaded_at < *due)
+    let members_due = health.restored_at().map(|at| at + MEMBER_RETURN_TIME);
+    let due = [health.outdated_until(), members_due];
+    due.into_iter().flatten().find(|due| loaded_at < *due)
 }
