Merge the store's era

Open: a write by a gateway that does not know the era yet may meet a precondition that matches another write; a new gateway sends no order for 4 s.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer_watch;
 mod attempt;
+mod backend_entries;
 mod crash_probe;
 mod crash_suspects;
 mod daemon;
@@ -27,6 +28,7 @@
 mod shared;
 mod stages;
 mod standby;
+mod store_era;
 mod store_watch;
 mod stream_attempt;
 mod stream_forwarder;
