--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod overview;
 mod plain;
+mod prefill;
 mod readiness;
 mod request;
 mod request_error;
--- /dev/null
+++ b/crates/gateway/src/prefill.rs
@@ -0,0 +1,177 @@
+//! Prefill of prompts on prefill engines, which hold the KV cache for decode engines.
+
+use std::sync::Arc;
+
+use policy::{
+    BackendLoad,
+    BackendSelection,
+    PrefillBacklog,
+    QueuePosition,
+    prefers_inline_prefill,
+    select_decode_engine,
+    select_prefill_engine, //
+};
+use tokio::time::Instant;
+
+use crate::attempt::AttemptError;
+use crate::crash_suspects::check_suspect;
+use crate::generation::{
+    SelectedEngine,
+    record_selection, //
+};
+use crate::in_flight::InFlightGuard;
+use crate::kv_cache::RemoteKvCache;
+use crate::latency::ServerStage;
+use crate::request::{
+    AttemptHistory,
+    RequestContext, //
+};
+use crate::send::{
+    read_response,
+    start_attempt, //
+};
+use crate::shared::GatewayState;
+use crate::unframed_end::record_response_end;
+
+/// Number of prefill-only attempts before the decode engine prefills the prompt inline.
+const MAX_PREFILL_ATTEMPTS: u32 = 2;
+
+/// Prefills the prompt on a prefill engine. Without a result, the decode engine prefills the prompt
+/// inline.
+pub(crate) async fn prefill_prompt(
+    context: &Arc<RequestContext>,
+    history: &mut AttemptHistory,
+) -> Option<RemoteKvCache> {
+    while history.prefill_attempts < MAX_PREFILL_ATTEMPTS && !history.has_been_unreachable() {
+        let engine = select_prefill(context, history)?;
+        check_suspect(context).ok()?;
+        if history.prefill_attempts > 0 && !context.shared.try_spend_retry(&context.service) {
+            return None;
+        }
+        let instance = engine.selection.instance.clone();
+        // Counted before the result, since the attempt may be given up meanwhile.
+        history.prefill_attempts += 1;
+        let started = Instant::now();
+        match send_prefill(context, engine).await {
+            Ok(kv_cache) => return Some(kv_cache),
+            Err(AttemptError::DeadlineExceeded | AttemptError::Quarantined(_)) => return None,
+            Err(error) => {
+                // The limit of prefill attempts covers only those that reached an engine.
+                history.prefill_attempts -= u32::from(error == AttemptError::Unreachable);
+                if error == AttemptError::Unreachable {
+                    history.record_unreachable(started.elapsed());
+                }
+                history.excluded.insert(instance.clone());
+                context.log_retry(&instance, error.as_str());
+            }
+        }
+    }
+    None
+}
+
+/// Selects a prefill engine for the prompt, unless a decode engine should prefill it inline.
+fn select_prefill(context: &RequestContext, history: &AttemptHistory) -> Option<SelectedEngine> {
+    let now = Instant::now();
+    let mut state = context.shared.lock();
+    let capacity = state.engine_capacity(&context.service);
+    let layout = &context.metadata.prompt_layout;
+    let request = context.selection_request(history);
+    let position = context.urgency().position();
+    let selection = select_prefill_engine(&state.fleet, now, request, layout, position, capacity);
+    if history.is_empty() {
+        record_requested_tokens(context, &mut state, selection.as_ref());
+    }
+    let decode_selection = select_decode_engine(&state.fleet, now, request, layout, capacity, None);
+    if decode_selection
+        .as_ref()
+        .is_some_and(prefers_inline_prefill)
+    {
+        return None;
+    }
+    let selection = selection?;
+    let position = context.queue_position(&selection, capacity);
+    let engine = record_selection(
+        context,
+        state,
+        selection,
+        position,
+        "prefill engine expected to finish the prompt first",
+    )?;
+    if position == QueuePosition::LAST {
+        context.log_late_prompt(&engine.selection);
+    }
+    Some(engine)
+}
+
+/// Records the prompt and output tokens that a request asks for. The prompt counts as demand on
+/// the prefill stage even if a decode engine prefills it inline.
+fn record_requested_tokens(
+    context: &RequestContext,
+    state: &mut GatewayState,
+    selection: Option<&BackendSelection>,
+) {
+    let now = Instant::now();
+    let tokens = selection.map_or(context.metadata.prompt_layout.tokens(), |selection| {
+        selection.uncached_tokens
+    });
+    let speeds = state.speeds.entry(context.service.clone()).or_default();
+    speeds.prompt_token_rate.add(now, tokens.into());
+    speeds
+        .output_token_rate
+        .add(now, context.output_tokens().into());
+}
+
+/// Prefills the prompt on an engine, which holds the KV cache for a decode engine.
+async fn send_prefill(
+    context: &Arc<RequestContext>,
+    engine: SelectedEngine,
+) -> Result<RemoteKvCache, AttemptError> {
+    let instance = &engine.selection.instance;
+    let load = BackendLoad {
+        requests: 1,
+        prefill_backlog: PrefillBacklog::new(
+            engine.position,
+            engine.selection.uncached_tokens.into(),
+        ),
+        kv_cache_tokens: 0,
+    };
+    let tokens_ahead = context
+        .shared
+        .lock()
+        .fleet
+        .get(instance)
+        .map_or(0, |view| view.total_load().prefill_backlog.total_tokens());
+    let in_flight = InFlightGuard::new(context, instance, load);
+    let mut metadata = context.attempt_metadata(instance, engine.position);
+    metadata.prefill_only = true;
+    let started = Instant::now();
+    let response = start_attempt(context, engine.address, &metadata).await?;
+    let response = read_response(context, instance, response).await?;
+    drop(in_flight);
+    // A prefill does not run the request, so that its success does not clear it.
+    record_response_end(context, instance, response.metadata.is_framed, false);
+    let elapsed = started.elapsed();
+    let latencies = &context.shared.metrics.latencies;
+    latencies.observe_stage(ServerStage::Prefill, instance, elapsed);
+    let prefill = match platform::parse_prefill_response(response.http.body()) {
+        Ok(prefill) if response.http.status().is_success() => prefill,
+        _ => return Err(AttemptError::Unsure("prefill_failed")),
+    };
+    let mut state = context.shared.lock();
+    let speeds = state.speeds.entry(context.service.clone()).or_default();
+    // The time of a prompt that waited behind others is not a sample of the prefill speed.
+    if tokens_ahead == 0 {
+        speeds
+            .prefill
+            .add_sample(engine.selection.uncached_tokens, elapsed);
+    }
+    drop(state);
+    Ok(RemoteKvCache {
+        shared: context.shared.clone(),
+        address: engine.address,
+        centre: engine.centre,
+        handle: prefill.handle,
+        fetch_requested: false,
+        fetch_refused: false,
+    })
+}
--- a/crates/gateway/src/suspect_news.rs
+++ b/crates/gateway/src/suspect_news.rs
@@ -133,8 +133,8 @@
     /// number.
     pub(crate) fn void_revisions(&mut self, now: Instant) -> usize {
         let recorded = std::mem::take(&mut self.revisions);
-        for fingerprint in recorded.keys() {
-            self.write(now, *fingerprint);
+        for suspect in recorded.keys() {
+            self.write(now, *suspect);
         }
         recorded.len()
     }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -13,9 +13,9 @@
 use crate::health::BackendHealth;
 use crate::{
     AttemptOutcome,
+    BackendLoad,
     BackendRecord,
     EngineStage,
-    PrefillBacklog,
     PromptLayout, //
 };
 
@@ -34,40 +34,6 @@
 /// sends nothing.
 const PREFILL_LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// In-flight load of a backend server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct BackendLoad {
-    /// Number of in-flight requests.
-    pub requests: u32,
-    /// Prompt tokens that wait for prefill.
-    pub prefill_backlog: PrefillBacklog,
-    /// Tokens in the KV cache memory for running streams.
-    pub kv_cache_tokens: u64,
-}
-
-impl BackendLoad {
-    /// No load.
-    pub const NONE: Self = Self {
-        requests: 0,
-        prefill_backlog: PrefillBacklog::NONE,
-        kv_cache_tokens: 0,
-    };
-
-    /// Adds another load.
-    pub fn add(&mut self, load: Self) {
-        self.requests += load.requests;
-        self.prefill_backlog.add(load.prefill_backlog);
-        self.kv_cache_tokens += load.kv_cache_tokens;
-    }
-
-    /// Subtracts a load that has ended, saturating at zero.
-    pub fn subtract(&mut self, load: Self) {
-        self.requests = self.requests.saturating_sub(load.requests);
-        self.prefill_backlog.subtract(load.prefill_backlog);
-        self.kv_cache_tokens = self.kv_cache_tokens.saturating_sub(load.kv_cache_tokens);
-    }
-}
-
 /// Change of a backend server by a registry update.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendChange {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod backend;
+mod backend_load;
 mod backend_selection;
 mod cache_estimate;
 mod claim;
@@ -54,6 +55,7 @@
 pub use answer::ChunkVerdict;
 pub use backend::BackendRecord;
 pub use backend::EngineStage;
+pub use backend_load::BackendLoad;
 pub use backend_selection::BackendSelection;
 pub use backend_selection::EngineCapacity;
 pub use backend_selection::SelectionRequest;
@@ -77,7 +79,6 @@
 pub use event_cursor::EventError;
 pub use fleet::BackendChange;
 pub use fleet::BackendFleet;
-pub use fleet::BackendLoad;
 pub use fleet::BackendView;
 pub use health::AttemptOutcome;
 pub use health::BackendHealth;
