gateway: answers that clear a suspect are relayed, not written, and data stands in for probes

Change: a relayed answer goes into reports only. The last probe waits 100 ms for data of the server, and earlier ones use what has arrived since the break.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -39,6 +39,8 @@
 /// Delay between the first two probes of a process that may have crashed. A process that is about to
 /// end may still answer the first one.
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(50);
+/// Time before the last probe in which a busy server sends something, so that none is needed.
+const LIVENESS_TIME: Duration = Duration::from_millis(100);
 /// Factor by which the delay grows from one probe to the next.
 const PROBE_DELAY_FACTOR: u32 = 3;
 /// Maximum number of probes started at once.
@@ -123,15 +125,25 @@
 }
 
 /// Probes the server of a presumed crash until it is known whether the process has ended, or until an
-/// answer shows that it lives on.
+/// answer shows that it lives on. Data of other responses is as good as an answer.
 async fn probe_crash(shared: Arc<GatewayShared>, crash: ServerCrash) {
+    let due = crash.probe_due() + LIVENESS_TIME;
     let mut interval = FIRST_PROBE_DELAY;
     loop {
         let now = Instant::now();
-        let until_due = crash.probe_due().saturating_duration_since(now);
+        let until_due = due.saturating_duration_since(now);
         let is_due = until_due.is_zero();
         let timeout = if is_due { PROBE_TIMEOUT } else { until_due };
-        let state = probe_process(&shared, &crash, timeout, is_due).await;
+        let since = if is_due {
+            crash.probe_due()
+        } else {
+            crash.at + FIRST_PROBE_DELAY / 2
+        };
+        let state = if shows_life(&shared, &crash, since) {
+            Some(CrashState::Outlived)
+        } else {
+            probe_process(&shared, &crash, timeout, is_due).await
+        };
         if let Some(state) = state
             && (is_due || state == CrashState::Confirmed)
         {
@@ -142,11 +154,22 @@
         if is_due {
             return;
         }
-        sleep_until(crash.probe_due().min(now + interval)).await;
+        sleep_until(due.min(now + interval)).await;
         interval *= PROBE_DELAY_FACTOR;
     }
 }
 
+/// Returns whether the process of a presumed crash has sent data since a point in time.
+fn shows_life(shared: &GatewayShared, crash: &ServerCrash, since: Instant) -> bool {
+    let incarnation = crash.incarnation.map(|incarnation| incarnation.0);
+    let is_same = {
+        let state = shared.lock();
+        let view = state.fleet.get(&crash.server);
+        view.is_some_and(|view| view.record.started_unix_ms == incarnation)
+    };
+    is_same && shared.has_shown_liveness(&crash.server, since)
+}
+
 /// Returns what a probe shows about the process of a presumed crash, if it shows anything.
 async fn probe_process(
     shared: &GatewayShared,
--- a/crates/gateway/src/suspect_sharing.rs
+++ b/crates/gateway/src/suspect_sharing.rs
@@ -62,9 +62,13 @@
     let state = &mut *guard;
     let is_new = state.suspects.merge(now, evidence);
     let count = state.suspects.crash_count(suspect);
-    let is_relayed = is_new && (evidence.crashes.len() > 1 || evidence.completed_at.is_some());
+    let is_relayed = is_new && evidence.crashes.len() > 1;
     if is_relayed || state.suspects.adds_to(evidence) {
         queue_news_after(shared, state, suspect, Duration::ZERO);
+    } else if is_new && evidence.completed_at.is_some() {
+        // The gateway that saw the answer writes it to the store.
+        state.suspect_news.report(suspect, true);
+        shared.suspect_reports.notify_one();
     }
     if !is_new {
         return;
