--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -1,6 +1,5 @@
 //! Finds out whether the process of a backend server has outlived a presumed crash.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,12 +7,8 @@
     DecisionKind,
     DecisionRecord, //
 };
-use platform::{
-    ProbeAnswer,
-    probe_server, //
-};
+use platform::ProbeAnswer;
 use policy::{
-    BackendRecord,
     CrashState,
     ServerCrash, //
 };
@@ -23,10 +18,13 @@
 };
 use units::InstanceId;
 
-use crate::shared::{
-    GatewayShared,
-    GatewayState, //
+use crate::server_process::{
+    ProbeTarget,
+    ProcessState,
+    find_process,
+    process_state, //
 };
+use crate::shared::GatewayShared;
 use crate::suspect_news::SilenceProbe;
 use crate::suspect_sharing::queue_news;
 
@@ -49,17 +47,6 @@
 /// does not state when it started. A restart takes longer.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 
-/// What a gateway knows about the server of a presumed crash.
-enum ProbeTarget {
-    /// The state follows from the entry in the platform's registry.
-    Known(CrashState),
-    Server {
-        address: SocketAddr,
-        /// Path of the health check of a plain service; `None` for engines.
-        health_path: Option<String>,
-    },
-}
-
 /// Returns whether a server that has fallen silent on all connections answers on a new one.
 ///
 /// A busy server also sends nothing for a while. One probe at a time asks each server, and its result
@@ -80,12 +67,12 @@
     let target = {
         let state = shared.lock();
         let view = state.fleet.get(instance);
-        view.map(|view| (view.record.address, health_path(&state, &view.record)))
+        view.map(|view| ProbeTarget::new(&state, view))
     };
-    let Some((address, path)) = target else {
+    let Some(target) = target else {
         return false;
     };
-    let answer = probe_server(address, instance, path.as_deref(), SILENCE_PROBE_TIMEOUT).await;
+    let answer = target.probe(instance, SILENCE_PROBE_TIMEOUT).await;
     let is_alive = matches!(answer, Ok(ProbeAnswer::Alive { .. }));
     *last_result = Some(SilenceProbe {
         at: Instant::now(),
@@ -96,16 +83,6 @@
     is_alive
 }
 
-/// Returns the path of the health check of a plain service, or `None` for an engine.
-pub(crate) fn health_path(state: &GatewayState, record: &BackendRecord) -> Option<String> {
-    if record.stage.is_some() {
-        return None;
-    }
-    let table = state.table.as_ref()?;
-    let service = table.services.get(&record.service)?;
-    Some(service.health_path.clone())
-}
-
 /// Probes the servers of presumed crashes in the background.
 pub(crate) fn probe_crashes(shared: &Arc<GatewayShared>, crashes: Vec<ServerCrash>) {
     let now = Instant::now();
@@ -161,13 +138,8 @@
 
 /// Returns whether the process of a presumed crash has sent data since a point in time.
 fn shows_life(shared: &GatewayShared, crash: &ServerCrash, since: Instant) -> bool {
-    let incarnation = crash.incarnation.map(|incarnation| incarnation.0);
-    let is_same = {
-        let state = shared.lock();
-        let view = state.fleet.get(&crash.server);
-        view.is_some_and(|view| view.record.started_unix_ms == incarnation)
-    };
-    is_same && shared.has_shown_liveness(&crash.server, since)
+    let target = find_process(&shared.lock(), &crash.server, crash.incarnation);
+    target.is_some() && shared.has_shown_liveness(&crash.server, since)
 }
 
 /// Returns what a probe shows about the process of a presumed crash, if it shows anything.
@@ -177,16 +149,12 @@
     timeout: Duration,
     is_last: bool,
 ) -> Option<CrashState> {
-    let target = probe_target(&shared.lock(), crash);
-    let (address, path) = match target {
-        ProbeTarget::Known(state) => return Some(state),
-        ProbeTarget::Server {
-            address,
-            health_path,
-        } => (address, health_path),
+    let target = find_process(&shared.lock(), &crash.server, crash.incarnation);
+    let Some(target) = target else {
+        return Some(CrashState::Confirmed);
     };
-    match probe_server(address, &crash.server, path.as_deref(), timeout).await {
-        Ok(answer) => state_after(answer, crash),
+    match target.probe(&crash.server, timeout).await {
+        Ok(answer) => state_after(process_state(answer, crash.incarnation), crash),
         Err(error) => {
             if is_last {
                 log_probe(shared, crash, &error.to_string(), 0);
@@ -214,36 +182,12 @@
     log_probe(shared, crash, outcome, concerned.len());
 }
 
-fn probe_target(state: &GatewayState, crash: &ServerCrash) -> ProbeTarget {
-    let Some(view) = state.fleet.get(&crash.server) else {
-        return ProbeTarget::Known(CrashState::Confirmed);
-    };
-    let record = &view.record;
-    let incarnation = crash.incarnation.map(|incarnation| incarnation.0);
-    if record.started_unix_ms != incarnation {
-        return ProbeTarget::Known(CrashState::Confirmed);
-    }
-    ProbeTarget::Server {
-        address: record.address,
-        health_path: health_path(state, record),
-    }
-}
-
-/// Returns what an answer shows about the process that was presumed to have crashed.
-fn state_after(answer: ProbeAnswer, crash: &ServerCrash) -> Option<CrashState> {
-    match answer {
-        ProbeAnswer::NotListening | ProbeAnswer::OtherInstance => Some(CrashState::Confirmed),
-        ProbeAnswer::Alive {
-            started_unix_ms: Some(started),
-        } if crash.incarnation.is_some() => {
-            let is_same = crash.incarnation.is_some_and(|known| known.0 == started);
-            Some(if is_same {
-                CrashState::Outlived
-            } else {
-                CrashState::Confirmed
-            })
-        }
-        ProbeAnswer::Alive { .. } => {
+/// Returns what the state of a process shows about its presumed crash.
+fn state_after(state: ProcessState, crash: &ServerCrash) -> Option<CrashState> {
+    match state {
+        ProcessState::Ended => Some(CrashState::Confirmed),
+        ProcessState::Running => Some(CrashState::Outlived),
+        ProcessState::Unstated => {
             (crash.at.elapsed() < RESTART_TIME).then_some(CrashState::Outlived)
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,7 +22,10 @@
     into_caller_response,
     read_response, //
 };
-use crate::stream_attempt::StreamAttempt;
+use crate::stream_attempt::{
+    StreamAttempt,
+    check_stream, //
+};
 use crate::stream_forwarder::StreamForwarder;
 use crate::stream_timing::StreamTiming;
 
@@ -35,8 +38,7 @@
     mut stream: OpenStream,
     history: AttemptHistory,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let is_success = stream.response.http.status().is_success();
-    if !is_success || !stream.response.metadata.is_signed {
+    if check_stream(&stream.response).is_err() {
         return forward_error(&context, stream).await;
     }
     let (mut head, body) = stream.response.http.into_parts();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod request_error;
 mod send;
 mod serve;
+mod server_process;
 mod shared;
 mod stages;
 mod standby;
--- /dev/null
+++ b/crates/gateway/src/server_process.rs
@@ -0,0 +1,92 @@
+//! The process of a backend server, which a probe tells from one that has taken its place.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform::{
+    PlatformError,
+    ProbeAnswer,
+    probe_server, //
+};
+use policy::BackendView;
+use units::{
+    IncarnationId,
+    InstanceId, //
+};
+
+use crate::shared::GatewayState;
+
+/// What the answer to a probe shows about a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProcessState {
+    /// It no longer listens, or another process has taken its place.
+    Ended,
+    /// It answers.
+    Running,
+    /// A process answers that does not state when it started.
+    Unstated,
+}
+
+/// Where to probe a backend server.
+pub(crate) struct ProbeTarget {
+    address: SocketAddr,
+    /// Path of the health check of a plain service; `None` for engines.
+    health_path: Option<String>,
+}
+
+impl ProbeTarget {
+    pub(crate) fn new(state: &GatewayState, view: &BackendView) -> Self {
+        let record = &view.record;
+        let services = state.table.as_ref().map(|table| &table.services);
+        let service = services.and_then(|services| services.get(&record.service));
+        let service = service.filter(|_| record.stage.is_none());
+        Self {
+            address: record.address,
+            health_path: service.map(|service| service.health_path.clone()),
+        }
+    }
+
+    /// Asks a backend server for its state, and returns the answer.
+    pub(crate) async fn probe(
+        &self,
+        instance: &InstanceId,
+        timeout: Duration,
+    ) -> Result<ProbeAnswer, PlatformError> {
+        probe_server(self.address, instance, self.health_path.as_deref(), timeout).await
+    }
+}
+
+/// Returns where to probe a process, or `None` if its entry in the platform's registry shows that it
+/// has ended.
+pub(crate) fn find_process(
+    state: &GatewayState,
+    instance: &InstanceId,
+    incarnation: Option<IncarnationId>,
+) -> Option<ProbeTarget> {
+    let view = state.fleet.get(instance)?;
+    let is_same = view.record.started_unix_ms == incarnation.map(|incarnation| incarnation.0);
+    is_same.then(|| ProbeTarget::new(state, view))
+}
+
+/// Returns what the answer to a probe shows about a process.
+pub(crate) fn process_state(
+    answer: ProbeAnswer,
+    incarnation: Option<IncarnationId>,
+) -> ProcessState {
+    match (answer, incarnation) {
+        (ProbeAnswer::NotListening | ProbeAnswer::OtherInstance, _) => ProcessState::Ended,
+        (
+            ProbeAnswer::Alive {
+                started_unix_ms: Some(started),
+            },
+            Some(incarnation),
+        ) if started == incarnation.0 => ProcessState::Running,
+        (
+            ProbeAnswer::Alive {
+                started_unix_ms: Some(_),
+            },
+            Some(_),
+        ) => ProcessState::Ended,
+        (ProbeAnswer::Alive { .. }, _) => ProcessState::Unstated,
+    }
+}
--- a/crates/gateway/src/standby.rs
+++ b/crates/gateway/src/standby.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use policy::EventCursor;
 
-use crate::attempt::OpenResponse;
 use crate::generation::open_stream;
 use crate::request::{
     AttemptHistory,
@@ -15,6 +14,7 @@
 };
 use crate::stream_attempt::{
     StreamAttempt,
+    check_stream,
     record_failed_attempt, //
 };
 
@@ -37,7 +37,7 @@
     cursor.start_attempt();
     let opened = open_stream(context, history, cursor.last_id()).await;
     let stream = opened.map_err(|error| error.as_str())?;
-    check_resumed(&stream.response)?;
+    check_stream(&stream.response)?;
     let mut attempt = StreamAttempt::new(stream);
     let instance = attempt.instance.clone();
     let sent = tokio::select! {
@@ -79,15 +79,3 @@
         }
     }
 }
-
-/// Checks that a response can go on with a stream.
-pub(crate) fn check_resumed(response: &OpenResponse) -> Result<(), &'static str> {
-    if !response.http.status().is_success() {
-        return Err("error_status");
-    }
-    if response.metadata.is_signed {
-        Ok(())
-    } else {
-        Err("answer_unsigned")
-    }
-}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -120,7 +120,10 @@
 }
 
 /// Fails if the era has risen since a response was made.
-fn check_era(shared: &GatewayShared, revision: StoreRevision) -> Result<(), PlatformError> {
+pub(crate) fn check_era(
+    shared: &GatewayShared,
+    revision: StoreRevision,
+) -> Result<(), PlatformError> {
     if shared.lock().era.is_current(revision.era) {
         Ok(())
     } else {
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -12,6 +12,7 @@
     is_malformed, //
 };
 
+use crate::attempt::OpenResponse;
 use crate::crash_suspects::record_crash;
 use crate::generation::OpenStream;
 use crate::in_flight::InFlightGuard;
@@ -61,6 +62,18 @@
     }
 }
 
+/// Checks that a response carries a stream of an engine.
+pub(crate) fn check_stream(response: &OpenResponse) -> Result<(), &'static str> {
+    if !response.http.status().is_success() {
+        return Err("error_status");
+    }
+    if response.metadata.is_signed {
+        Ok(())
+    } else {
+        Err("answer_unsigned")
+    }
+}
+
 /// Records that the stream of an attempt ended early or was given up for another one.
 pub(crate) fn record_failed_attempt(context: &RequestContext, instance: &InstanceId, reason: &str) {
     let outcome = AttemptOutcome::ConnectionBroken;
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -19,12 +19,10 @@
     RequestContext, //
 };
 use crate::send::release_connection;
-use crate::standby::{
-    StandbyStream,
-    check_resumed, //
-};
+use crate::standby::StandbyStream;
 use crate::stream_attempt::{
     StreamAttempt,
+    check_stream,
     record_failed_attempt, //
 };
 use crate::stream_timing::StreamTiming;
@@ -109,7 +107,7 @@
                     break;
                 }
             };
-            match check_resumed(&stream.response) {
+            match check_stream(&stream.response) {
                 Ok(()) => return Some(StreamAttempt::new(stream)),
                 Err(error) => {
                     failed = stream.engine.selection.instance;
--- a/crates/gateway/src/suspect_store.rs
+++ b/crates/gateway/src/suspect_store.rs
@@ -30,7 +30,10 @@
 };
 
 use crate::shared::GatewayShared;
-use crate::store_watch::count_store_call;
+use crate::store_watch::{
+    check_era,
+    count_store_call, //
+};
 use crate::suspect_record::{
     ClockReading,
     SUSPECT_PREFIX,
@@ -178,9 +181,7 @@
 /// Reads all records again after a conflict.
 async fn reload_suspects(shared: &GatewayShared) -> Result<(), PlatformError> {
     let range = count_store_call(shared, shared.store.range(SUSPECT_PREFIX)).await?;
-    if !shared.lock().era.is_current(range.revision.era) {
-        return Err(PlatformError::EraEnded);
-    }
+    check_era(shared, range.revision)?;
     replace_suspects(shared, &range.items);
     Ok(())
 }
--- a/crates/gateway/src/unframed_end.rs
+++ b/crates/gateway/src/unframed_end.rs
@@ -3,22 +3,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{
-    ProbeAnswer,
-    probe_server, //
-};
 use tokio::time::{
     Instant,
     sleep_until, //
 };
-use units::InstanceId;
+use units::{
+    IncarnationId,
+    InstanceId, //
+};
 
-use crate::crash_probe::health_path;
 use crate::crash_suspects::{
     record_completed,
     record_crash, //
 };
 use crate::request::RequestContext;
+use crate::server_process::{
+    ProcessState,
+    find_process,
+    process_state, //
+};
 use crate::shared::GatewayShared;
 
 /// Time after the end of a response from which an answer of its server shows that the server did not
@@ -33,16 +36,6 @@
 
 const UNFRAMED_CAUSE: &str = "backend server ended with a response of unknown length";
 
-/// What is known about the process of a backend server after a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ServerFate {
-    Alive,
-    /// It no longer listens, or another process has taken its place.
-    Ended,
-    /// It did not answer in time, as a busy server may.
-    Unknown,
-}
-
 /// Records the end of a response. A complete success clears the request; whether a response of unknown
 /// length was complete, or its server ended with it, is found out in the background.
 pub(crate) fn record_response_end(
@@ -62,52 +55,46 @@
 async fn check_unframed_end(context: Arc<RequestContext>, instance: InstanceId, is_success: bool) {
     let shared = &context.shared;
     let incarnation = incarnation_of(shared, &instance);
-    let mut fate = probe_fate(shared, &instance, incarnation).await;
-    if fate != ServerFate::Ended {
+    let mut state = probe_process(shared, &instance, incarnation).await;
+    if state != Some(ProcessState::Ended) {
         let settled_at = Instant::now() + SURVIVAL_TIME;
         sleep_until(settled_at + LIVENESS_TIME).await;
-        fate = if shared.has_shown_liveness(&instance, settled_at) {
-            ServerFate::Alive
+        state = if shared.has_shown_liveness(&instance, settled_at) {
+            Some(ProcessState::Running)
         } else {
-            probe_fate(shared, &instance, incarnation).await
+            probe_process(shared, &instance, incarnation).await
         };
     }
-    match fate {
-        ServerFate::Ended => record_crash(shared, &context.witness(), &instance, UNFRAMED_CAUSE),
-        ServerFate::Alive if is_success => record_completed(&context),
-        ServerFate::Alive | ServerFate::Unknown => {}
+    match state {
+        Some(ProcessState::Ended) => {
+            record_crash(shared, &context.witness(), &instance, UNFRAMED_CAUSE);
+        }
+        Some(ProcessState::Running | ProcessState::Unstated) if is_success => {
+            record_completed(&context);
+        }
+        _ => {}
     }
 }
 
-/// Returns the start time of a backend server's process in milliseconds since the Unix epoch.
-fn incarnation_of(shared: &GatewayShared, instance: &InstanceId) -> Option<u64> {
+fn incarnation_of(shared: &GatewayShared, instance: &InstanceId) -> Option<IncarnationId> {
     let state = shared.lock();
-    state.fleet.get(instance)?.record.started_unix_ms
+    let started_unix_ms = state.fleet.get(instance)?.record.started_unix_ms;
+    started_unix_ms.map(IncarnationId)
 }
 
-/// Finds out whether the process of a backend server still runs.
-async fn probe_fate(
+/// Finds out whether a process still runs. Returns `None` if it does not answer in time, as a busy
+/// server may.
+async fn probe_process(
     shared: &GatewayShared,
     instance: &InstanceId,
-    incarnation: Option<u64>,
-) -> ServerFate {
-    let target = {
-        let state = shared.lock();
-        let view = state.fleet.get(instance);
-        let view = view.filter(|view| view.record.started_unix_ms == incarnation);
-        view.map(|view| (view.record.address, health_path(&state, &view.record)))
-    };
-    let Some((address, path)) = target else {
-        return ServerFate::Ended;
+    incarnation: Option<IncarnationId>,
+) -> Option<ProcessState> {
+    let target = find_process(&shared.lock(), instance, incarnation);
+    let Some(target) = target else {
+        return Some(ProcessState::Ended);
     };
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["probe"]).inc();
-    match probe_server(address, instance, path.as_deref(), PROBE_TIMEOUT).await {
-        Ok(ProbeAnswer::NotListening | ProbeAnswer::OtherInstance) => ServerFate::Ended,
-        Ok(ProbeAnswer::Alive {
-            started_unix_ms: Some(started),
-        }) if incarnation.is_some_and(|known| known != started) => ServerFate::Ended,
-        Ok(ProbeAnswer::Alive { .. }) => ServerFate::Alive,
-        Err(_) => ServerFate::Unknown,
-    }
+    let answer = target.probe(instance, PROBE_TIMEOUT).await.ok()?;
+    Some(process_state(answer, incarnation))
 }
