gateway: log lines name the software version of engines and the stream that a caller takes up

Entries are now read with their version, route, retry and standby lines have it, and a resume line names the stream. No decision depends on it yet.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -67,6 +67,7 @@
     context: Arc<RequestContext>,
 ) -> Result<Response<ResponseBody>, RequestError> {
     let mut history = AttemptHistory::default();
+    context.log_resume();
     context.record_wanted(Some(EngineStage::Prefill));
     context.record_wanted(Some(EngineStage::Decode));
     let stream = open_stream(&context, &mut history, None).await?;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -31,7 +31,8 @@
     PromptUrgency,
     QueuePosition,
     RouteRule,
-    SelectionRequest, //
+    SelectionRequest,
+    StreamStart, //
 };
 use tokio::time::{
     Instant,
@@ -42,6 +43,7 @@
     FingerprintId,
     InstanceId,
     ServiceName,
+    SoftwareVersion,
     SuspectId, //
 };
 
@@ -181,10 +183,33 @@
 
     /// Logs why an attempt failed, before it is retried or given up.
     pub(crate) fn log_retry(&self, instance: &InstanceId, reason: &str) {
-        let record = self.record(DecisionKind::Retry, reason).chosen(instance);
-        self.shared
-            .log
-            .write(record.input("left_ms", self.time_left_ms()));
+        let record = self
+            .record(DecisionKind::Retry, reason)
+            .chosen(instance)
+            .input("version", self.version_text(instance))
+            .input("left_ms", self.time_left_ms());
+        self.shared.log.write(record);
+    }
+
+    /// Returns the software version in the entry of a backend server, for the log.
+    fn version_text(&self, instance: &InstanceId) -> Option<String> {
+        let state = self.shared.lock();
+        let version = state.fleet.get(instance)?.record.version.as_ref();
+        version.map(SoftwareVersion::to_string)
+    }
+
+    /// Logs that a caller takes up a stream.
+    pub(crate) fn log_resume(&self) {
+        let stream = match &self.metadata.stream_start {
+            StreamStart::New => return,
+            StreamStart::Named(stream) => Some(String::from_utf8_lossy(stream).into_owned()),
+            StreamStart::Unknown => None,
+        };
+        let record = self
+            .record(DecisionKind::Resume, "caller takes up a stream")
+            .input("stream", stream)
+            .input("last_event", self.metadata.last_event_id);
+        self.shared.log.write(record);
     }
 
     /// Logs that a backend server has fallen silent within a stream.
@@ -209,6 +234,7 @@
         let record = self
             .record(DecisionKind::Retry, "attempt beside a silent stream ended")
             .chosen(instance)
+            .input("version", self.version_text(instance))
             .input("outcome", outcome)
             .input("cause", cause)
             .input("left_ms", self.time_left_ms());
@@ -224,6 +250,10 @@
             .chosen(&selection.instance)
             .considered(scores.collect())
             .input("config", self.config_version.0)
+            .input(
+                "version",
+                selection.version.as_ref().map(SoftwareVersion::as_str),
+            )
             .input("without_token", selection.without_token)
             .input("uncached_tokens", selection.uncached_tokens)
             .input("left_ms", self.time_left_ms())
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -7,7 +7,8 @@
 use units::{
     DataCentre,
     InstanceId,
-    ServiceName, //
+    ServiceName,
+    SoftwareVersion, //
 };
 
 /// Stage of inference that an engine runs.
@@ -56,4 +57,6 @@
     pub stage: Option<EngineStage>,
     /// Start time of the current process in milliseconds since the Unix epoch (1970), if published.
     pub started_unix_ms: Option<u64>,
+    /// Version of the software, if the entry states one.
+    pub version: Option<SoftwareVersion>,
 }
--- a/crates/policy/src/backend_selection.rs
+++ b/crates/policy/src/backend_selection.rs
@@ -9,7 +9,8 @@
 use units::{
     DataCentre,
     InstanceId,
-    ServiceName, //
+    ServiceName,
+    SoftwareVersion, //
 };
 
 use crate::fleet::BackendView;
@@ -54,6 +55,8 @@
 pub struct BackendSelection {
     /// Selected backend server.
     pub instance: InstanceId,
+    /// Version of its software, if its entry states one.
+    pub version: Option<SoftwareVersion>,
     /// Expected time until the request starts to run there.
     pub expected_wait: Duration,
     /// Number of prompt tokens to prefill there.
@@ -111,6 +114,7 @@
     let best = scored.first()?;
     Some(BackendSelection {
         instance: best.view.record.instance.clone(),
+        version: best.view.record.version.clone(),
         expected_wait: Duration::from_secs_f64(best.wait_ms.max(0.0) / 1_000.0),
         uncached_tokens: best.uncached_tokens,
         considered: considered.collect(),
--- a/crates/policy/tests/backend_selection.rs
+++ b/crates/policy/tests/backend_selection.rs
@@ -74,6 +74,7 @@
                 cold_time: Duration::ZERO,
                 stage: *stage,
                 started_unix_ms: None,
+                version: None,
             });
         }
         Self {
--- a/crates/policy/tests/eras.rs
+++ b/crates/policy/tests/eras.rs
@@ -44,6 +44,7 @@
         cold_time: Duration::ZERO,
         stage: None,
         started_unix_ms: Some(STARTED_UNIX_MS),
+        version: None,
     }
 }
 
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -33,6 +33,7 @@
         cold_time: Duration::ZERO,
         stage,
         started_unix_ms: None,
+        version: None,
     }
 }
 
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -4,6 +4,7 @@
 mod name;
 mod number;
 mod request_rate;
+mod software_version;
 mod suspect;
 
 pub use error::UnitError;
@@ -29,4 +30,5 @@
 pub use number::TokenRate;
 pub use number::WorthPoints;
 pub use request_rate::RequestRate;
+pub use software_version::SoftwareVersion;
 pub use suspect::SuspectId;
