gateway, policy: a stream goes on within its answer at the version that began it only

Callers saw streams whose events came from engines of two software versions, which does not fit together. One of the ways: an engine broke off or fell silent, and the gateway sent the stream on to any engine, since nothing read the version in the entries.

The version is now a requirement of the request, as limits and tokens are: free until an event is handed to the caller, from then on that of the process which made the event, as its entry stood when the attempt was sent. An entry that changes its version is another process.

Found on the way: usable() gave way to paused servers only if no other was left in the whole service. Servers that were tried are now left out first. Ruled out: the retry budget, whose lines did not appear.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -1,5 +1,6 @@
 //! Streaming requests to engines: selects the prefill and decode engines and opens the stream.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{
     Arc,
@@ -14,6 +15,8 @@
     EngineStage,
     PrefillBacklog,
     QueuePosition,
+    ServerFilter,
+    VersionRule,
     select_decode_engine, //
 };
 use tokio::time::Instant;
@@ -185,6 +188,7 @@
         context,
         state,
         selection,
+        &history.version,
         position,
         "decode engine on which the stream is expected to run fastest",
     )
@@ -196,6 +200,7 @@
     context: &RequestContext,
     mut state: MutexGuard<'_, GatewayState>,
     mut selection: BackendSelection,
+    version: &VersionRule,
     position: QueuePosition,
     reason: &str,
 ) -> Option<SelectedEngine> {
@@ -207,7 +212,13 @@
         view.record.centre.clone(),
         view.record.stage,
     );
-    selection.without_token = state.count_without_token(&context.service, stage);
+    let filter = ServerFilter {
+        service: &context.service,
+        stage,
+        version,
+        excluded: &BTreeSet::new(),
+    };
+    selection.without_token = state.count_without_token(filter);
     let token = TokenTicket::take(&context.shared, &mut state, &selection.instance);
     drop(state);
     context.log_selection(&selection, reason);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -157,7 +157,8 @@
     let mut selection = select_server(context, history, &state)?;
     let instance = selection.instance.clone();
     let address = state.fleet.get(&instance)?.record.address;
-    selection.without_token = state.count_without_token(&context.service, None);
+    let group = context.server_group(history, None);
+    selection.without_token = state.count_without_token(group.filter(&history.excluded));
     let token = TokenTicket::take(&context.shared, &mut state, &instance);
     drop(state);
     context.log_selection(
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -7,6 +7,8 @@
     BackendSelection,
     PrefillBacklog,
     QueuePosition,
+    SelectionRequest,
+    VersionRule,
     prefers_inline_prefill,
     select_decode_engine,
     select_prefill_engine, //
@@ -77,7 +79,19 @@
     let layout = &context.metadata.prompt_layout;
     let request = context.selection_request(history);
     let position = context.urgency().position();
-    let selection = select_prefill_engine(&state.fleet, now, request, layout, position, capacity);
+    // Prefill engines write no events.
+    let prefill_request = SelectionRequest {
+        version: &VersionRule::Any,
+        ..request
+    };
+    let selection = select_prefill_engine(
+        &state.fleet,
+        now,
+        prefill_request,
+        layout,
+        position,
+        capacity,
+    );
     if history.is_empty() {
         record_requested_tokens(context, &mut state, selection.as_ref());
     }
@@ -94,6 +108,7 @@
         context,
         state,
         selection,
+        &VersionRule::Any,
         position,
         "prefill engine expected to finish the prompt first",
     )?;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -32,7 +32,8 @@
     QueuePosition,
     RouteRule,
     SelectionRequest,
-    StreamStart, //
+    StreamStart,
+    VersionRule, //
 };
 use tokio::time::{
     Instant,
@@ -50,6 +51,7 @@
 use crate::crash_suspects::CrashWitness;
 use crate::request_error::RequestError;
 use crate::shared::GatewayShared;
+use crate::token_state::ServerGroup;
 
 /// Time without data from a backend server before the first check whether it is unresponsive, and
 /// between further checks.
@@ -132,10 +134,27 @@
     /// Counts the request as demand on the limited backend servers of a stage.
     pub(crate) fn record_wanted(&self, stage: Option<EngineStage>) {
         let mut state = self.shared.lock();
-        let group = (self.service.clone(), stage);
+        let group = ServerGroup {
+            service: self.service.clone(),
+            stage,
+            version: VersionRule::Any,
+        };
         state.token_state.record_wanted(Instant::now(), group);
     }
 
+    /// Returns the backend servers of a stage that may serve the request.
+    pub(crate) fn server_group(
+        &self,
+        history: &AttemptHistory,
+        stage: Option<EngineStage>,
+    ) -> ServerGroup {
+        ServerGroup {
+            service: self.service.clone(),
+            stage,
+            version: history.version.clone(),
+        }
+    }
+
     /// Returns the request's constraints on backend selection.
     pub(crate) fn selection_request<'a>(
         &'a self,
@@ -145,6 +164,7 @@
             service: &self.service,
             centre: &self.shared.settings.data_centre,
             excluded: &history.excluded,
+            version: &history.version,
         }
     }
 
@@ -308,6 +328,8 @@
     pub(crate) prefill_attempts: u32,
     /// Backend servers that are not selected again.
     pub(crate) excluded: BTreeSet<InstanceId>,
+    /// Software versions that may go on with the stream.
+    pub(crate) version: VersionRule,
     /// Backend server to which an attempt is being sent.
     pub(crate) sending_to: Option<InstanceId>,
 }
@@ -321,6 +343,13 @@
         }
     }
 
+    /// Records the version of the process that made events for the caller. The first one counts.
+    pub(crate) fn record_version(&mut self, version: Option<&SoftwareVersion>) {
+        if self.version == VersionRule::Any {
+            self.version = VersionRule::begun_by(version);
+        }
+    }
+
     /// Counts an attempt that did not reach its backend server.
     pub(crate) fn record_unreachable(&mut self, elapsed: Duration) {
         self.unreachable += 1;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,7 +17,6 @@
     CallKind,
     DecodeSpeed,
     EngineCapacity,
-    EngineStage,
     OfferedRate,
     OrderLease,
     PeerLoads,
@@ -25,6 +24,7 @@
     RetryBudget,
     RetryLimits,
     RouteTable,
+    ServerFilter,
     StoreHealth,
     SuspectLimits,
     SuspectRegistry,
@@ -273,16 +273,12 @@
 }
 
 impl GatewayState {
-    /// Returns the number of backend servers of a stage that accept no request for lack of a token.
-    pub(crate) fn count_without_token(
-        &self,
-        service: &ServiceName,
-        stage: Option<EngineStage>,
-    ) -> usize {
+    /// Returns the number of backend servers that fit and accept no request for lack of a token.
+    pub(crate) fn count_without_token(&self, filter: ServerFilter<'_>) -> usize {
         if self.token_state.limited_count == 0 {
             return 0;
         }
-        let without_token = self.fleet.without_token(Instant::now(), service, stage);
+        let without_token = self.fleet.without_token(Instant::now(), filter);
         without_token.count()
     }
 
--- a/crates/gateway/src/stream_attempt.rs
+++ b/crates/gateway/src/stream_attempt.rs
@@ -6,7 +6,10 @@
 use platform::ResponseMetadata;
 use policy::AttemptOutcome;
 use tokio::time::Instant;
-use units::InstanceId;
+use units::{
+    InstanceId,
+    SoftwareVersion, //
+};
 use web::{
     ClientConnection,
     is_malformed, //
@@ -21,6 +24,8 @@
 /// Body of one attempt, with the load that the attempt puts on its engine.
 pub(crate) struct StreamAttempt {
     pub(crate) instance: InstanceId,
+    /// Software version of the engine's entry when the attempt was sent.
+    pub(crate) version: Option<SoftwareVersion>,
     pub(crate) metadata: ResponseMetadata,
     pub(crate) connection: ClientConnection,
     body: Incoming,
@@ -33,6 +38,7 @@
     pub(crate) fn new(stream: OpenStream) -> Self {
         Self {
             instance: stream.engine.selection.instance,
+            version: stream.engine.selection.version,
             metadata: stream.response.metadata,
             connection: stream.response.connection,
             body: stream.response.http.into_body(),
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -131,7 +131,7 @@
                     (attempt, self.cursor) = (standby.attempt, standby.cursor);
                     instance = attempt.instance.clone();
                     answer = AnswerWatch::new(&self.context);
-                    if let Err(end) = self.deliver(standby.events).await {
+                    if let Err(end) = self.deliver(&attempt, standby.events).await {
                         return end;
                     }
                     continue;
@@ -155,7 +155,7 @@
             if !events.is_empty() {
                 answer.record_events();
             }
-            if let Err(end) = self.deliver(events).await {
+            if let Err(end) = self.deliver(&attempt, events).await {
                 return end;
             }
         }
@@ -166,11 +166,12 @@
         StreamEnd::Failed(instance, reason)
     }
 
-    /// Sends events to the caller.
-    async fn deliver(&mut self, events: Bytes) -> Result<(), StreamEnd> {
+    /// Sends events of an attempt to the caller.
+    async fn deliver(&mut self, attempt: &StreamAttempt, events: Bytes) -> Result<(), StreamEnd> {
         if events.is_empty() {
             return Ok(());
         }
+        self.history.record_version(attempt.version.as_ref());
         self.timing.record(self.context.started.elapsed());
         tokio::select! {
             is_delivered = self.chunks.send(events) => {
--- a/crates/gateway/src/token_exchange.rs
+++ b/crates/gateway/src/token_exchange.rs
@@ -113,10 +113,7 @@
                 0.0
             };
             view.limit.set_issued_part(now, part);
-            let group = (view.record.service.clone(), view.record.stage);
-            let demand = state.token_state.groups.get(&group);
-            let weight = demand.map_or(0.0, |demand| demand.weight(now));
-            let is_waiting = demand.is_some_and(|demand| !demand.queue.is_empty());
+            let (weight, is_waiting) = state.token_state.demand_on(now, &view.record);
             for (gateway, count) in view.limit.issue(now, weight) {
                 let issued = shared.metrics.tokens.with_label_values(&["issued"]);
                 issued.inc_by(count.into());
--- a/crates/gateway/src/token_state.rs
+++ b/crates/gateway/src/token_state.rs
@@ -6,9 +6,12 @@
 };
 
 use policy::{
+    BackendRecord,
     EngineStage,
     OfferedRate,
-    TokenQueue, //
+    ServerFilter,
+    TokenQueue,
+    VersionRule, //
 };
 use tokio::time::Instant;
 use units::{
@@ -17,7 +20,38 @@
 };
 
 /// Backend servers that may serve the same requests.
-pub(crate) type ServerGroup = (ServiceName, Option<EngineStage>);
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ServerGroup {
+    pub(crate) service: ServiceName,
+    pub(crate) stage: Option<EngineStage>,
+    pub(crate) version: VersionRule,
+}
+
+impl ServerGroup {
+    /// Returns the filter for the group's backend servers other than those that are excluded.
+    pub(crate) fn filter<'a>(&'a self, excluded: &'a BTreeSet<InstanceId>) -> ServerFilter<'a> {
+        ServerFilter {
+            service: &self.service,
+            stage: self.stage,
+            version: &self.version,
+            excluded,
+        }
+    }
+
+    /// Returns whether a backend server belongs to the group.
+    pub(crate) fn contains(&self, record: &BackendRecord) -> bool {
+        self.filter(&BTreeSet::new()).admits(record)
+    }
+
+    /// Returns the group of those that share a backend server's service, stage and version.
+    pub(crate) fn of_server(record: &BackendRecord) -> Self {
+        Self {
+            service: record.service.clone(),
+            stage: record.stage,
+            version: VersionRule::begun_by(record.version.as_ref()),
+        }
+    }
+}
 
 /// Requests that might be sent to a group of backend servers.
 #[derive(Debug, Default)]
@@ -50,6 +84,29 @@
 }
 
 impl TokenState {
+    /// Returns the requests per second that might use a token of a backend server, those that wait
+    /// included, and whether any wait.
+    pub(crate) fn demand_on(&self, now: Instant, record: &BackendRecord) -> (f64, bool) {
+        let groups = self.groups.iter();
+        let admitted = groups.filter(|(group, _)| group.contains(record));
+        admitted.fold((0.0, false), |(weight, is_waiting), (_, demand)| {
+            let has_waiting = !demand.queue.is_empty();
+            (weight + demand.weight(now), is_waiting || has_waiting)
+        })
+    }
+
+    /// Returns the tokens per second that requests took of a group's servers.
+    pub(crate) fn taken_rate(&self, now: Instant, group: &ServerGroup) -> f64 {
+        let groups = self.groups.iter();
+        let within = groups.filter(|(other, _)| {
+            let is_within = group.version == VersionRule::Any || other.version == group.version;
+            other.service == group.service && other.stage == group.stage && is_within
+        });
+        within
+            .map(|(_, demand)| demand.taken.per_ms(now) * 1_000.0)
+            .sum()
+    }
+
     /// Counts a request for which a server of a group is selected, while any server has a limit.
     pub(crate) fn record_wanted(&mut self, now: Instant, group: ServerGroup) {
         if self.limited_count > 0 {
--- a/crates/gateway/src/token_ticket.rs
+++ b/crates/gateway/src/token_ticket.rs
@@ -9,6 +9,7 @@
     GatewayShared,
     GatewayState, //
 };
+use crate::token_state::ServerGroup;
 
 /// Token for one request, given back on drop unless the request was sent.
 pub(crate) struct TokenTicket {
@@ -29,7 +30,7 @@
         view.limit.rate()?;
         // The selection has seen a token under the same lock.
         view.limit.charge(now);
-        let group = (view.record.service.clone(), view.record.stage);
+        let group = ServerGroup::of_server(&view.record);
         let demand = state.token_state.groups.entry(group).or_default();
         demand.taken.add(now, 1.0);
         shared.metrics.tokens.with_label_values(&["taken"]).inc();
--- a/crates/gateway/src/token_wait.rs
+++ b/crates/gateway/src/token_wait.rs
@@ -57,7 +57,7 @@
     mut select: impl FnMut() -> Option<T>,
 ) -> Result<Option<T>, RequestError> {
     let shared = &context.shared;
-    let group = (context.service.clone(), stage);
+    let group = context.server_group(history, stage);
     if !has_waiting(&shared.lock(), &group)
         && let Some(selected) = select()
     {
@@ -104,10 +104,10 @@
     stage: EngineStage,
 ) -> Result<(), RequestError> {
     let now = Instant::now();
-    let group = (context.service.clone(), Some(stage));
+    let group = context.server_group(history, Some(stage));
     let mut state = context.shared.lock();
-    let mut usable = state.fleet.usable(now, &group.0, group.1).into_iter();
-    let has_token = usable.any(|view| !history.excluded.contains(&view.record.instance));
+    let usable = state.fleet.usable(now, group.filter(&history.excluded));
+    let has_token = !usable.is_empty();
     if has_token || !is_limited(&state, history, now, &group) {
         return Ok(());
     }
@@ -130,8 +130,8 @@
     now: Instant,
     group: &ServerGroup,
 ) -> bool {
-    let mut limited = state.fleet.without_token(now, &group.0, group.1);
-    limited.any(|view| !history.excluded.contains(&view.record.instance))
+    let filter = group.filter(&history.excluded);
+    state.fleet.without_token(now, filter).next().is_some()
 }
 
 fn longest_expected_wait(context: &RequestContext) -> Duration {
@@ -172,12 +172,10 @@
 /// gateways share the limits evenly.
 fn token_rate(state: &GatewayState, now: Instant, group: &ServerGroup) -> f64 {
     let views = state.fleet.views();
-    let in_group =
-        views.filter(|view| view.record.service == group.0 && view.record.stage == group.1);
+    let in_group = views.filter(|view| group.contains(&view.record));
     let rates = in_group.filter_map(|view| view.limit.rate());
     let total: f64 = rates.map(RequestRate::per_second).sum();
-    let demand = state.token_state.groups.get(group);
-    let taken = demand.map_or(0.0, |demand| demand.taken.per_ms(now) * 1_000.0);
+    let taken = state.token_state.taken_rate(now, group);
     let even_part = total / state.members.len().max(1) as f64;
     taken.max(even_part)
 }
--- a/crates/policy/src/backend_selection.rs
+++ b/crates/policy/src/backend_selection.rs
@@ -18,7 +18,9 @@
     BackendFleet,
     EngineStage,
     PromptLayout,
-    QueuePosition, //
+    QueuePosition,
+    ServerFilter,
+    VersionRule, //
 };
 
 /// Response time of a plain service before the first response.
@@ -76,6 +78,8 @@
     pub centre: &'a DataCentre,
     /// Backend servers that are not candidates, since they were already tried.
     pub excluded: &'a BTreeSet<InstanceId>,
+    /// Software versions that may serve the request.
+    pub version: &'a VersionRule,
 }
 
 struct Candidate<'a> {
@@ -91,11 +95,13 @@
     request: SelectionRequest<'a>,
     stage: Option<EngineStage>,
 ) -> Vec<&'a BackendView> {
-    let usable = fleet.usable(now, request.service, stage);
-    let untried = usable
-        .into_iter()
-        .filter(|view| !request.excluded.contains(&view.record.instance));
-    untried.collect()
+    let filter = ServerFilter {
+        service: request.service,
+        stage,
+        version: request.version,
+        excluded: request.excluded,
+    };
+    fleet.usable(now, filter)
 }
 
 fn select_lowest_score<'a>(
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -4,10 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use units::{
-    InstanceId,
-    ServiceName, //
-};
+use units::InstanceId;
 
 use crate::cache_estimate::CacheEstimate;
 use crate::health::BackendHealth;
@@ -17,6 +14,7 @@
     BackendRecord,
     EngineStage,
     PromptLayout,
+    ServerFilter,
     ServerLimit, //
 };
 
@@ -162,10 +160,6 @@
         self.cache.record_prefill(layout, capacity_tokens);
     }
 
-    fn is_in(&self, service: &ServiceName, stage: Option<EngineStage>) -> bool {
-        self.record.service == *service && self.record.stage == stage
-    }
-
     fn accepts_work(&self) -> bool {
         !self.record.draining
     }
@@ -189,7 +183,8 @@
         view.missing_since = None;
         let restarted = before.started_unix_ms != view.record.started_unix_ms
             || before.address != view.record.address
-            || before.service != view.record.service;
+            || before.service != view.record.service
+            || before.version != view.record.version;
         if restarted {
             view.cache.clear();
             view.health = BackendHealth::default();
@@ -283,17 +278,11 @@
         self.views.values_mut()
     }
 
-    /// Returns the backend servers of a service and stage that accept new requests now. Those without
-    /// a token for their limit do not. Paused and unresponsive ones are included only if there are no
+    /// Returns the backend servers that fit and accept new requests now. Those without a token for their limit do not. Paused and unresponsive ones are included only if there are no
     /// others.
-    pub fn usable<'a>(
-        &'a self,
-        now: Instant,
-        service: &'a ServiceName,
-        stage: Option<EngineStage>,
-    ) -> Vec<&'a BackendView> {
+    pub fn usable<'a>(&'a self, now: Instant, filter: ServerFilter<'_>) -> Vec<&'a BackendView> {
         let fits = |view: &&BackendView| {
-            view.is_in(service, stage) && view.accepts_work() && view.limit.has_token(now)
+            filter.admits(&view.record) && view.accepts_work() && view.limit.has_token(now)
         };
         let accepting: Vec<&BackendView> = self.views.values().filter(fits).collect();
         let is_responsive =
@@ -307,16 +296,15 @@
         }
     }
 
-    /// Returns the backend servers of a service and stage that accept new requests but for their limit.
+    /// Returns the backend servers that fit and accept new requests but for their limit.
     pub fn without_token<'a>(
         &'a self,
         now: Instant,
-        service: &'a ServiceName,
-        stage: Option<EngineStage>,
+        filter: ServerFilter<'a>,
     ) -> impl Iterator<Item = &'a BackendView> {
         let views = self.views.values();
         views.filter(move |view| {
-            view.is_in(service, stage) && view.accepts_work() && !view.limit.has_token(now)
+            filter.admits(&view.record) && view.accepts_work() && !view.limit.has_token(now)
         })
     }
 
--- a/crates/policy/tests/backend_selection.rs
+++ b/crates/policy/tests/backend_selection.rs
@@ -20,6 +20,7 @@
     PromptLayout,
     QueuePosition,
     SelectionRequest,
+    VersionRule,
     prefers_inline_prefill,
     select_decode_engine,
     select_plain_server,
@@ -90,6 +91,7 @@
             service: &self.service,
             centre: &self.centre,
             excluded: &self.excluded,
+            version: &VersionRule::Any,
         }
     }
 
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use policy::{
@@ -10,8 +11,10 @@
     BackendFleet,
     BackendLoad,
     BackendRecord,
-    EngineStage, //
+    EngineStage,
+    ServerFilter,
     StoreHealth,
+    VersionRule, //
 };
 use tokio::time::Instant;
 use units::InstanceId;
@@ -47,7 +50,13 @@
 
 fn usable(fleet: &BackendFleet, now: Instant, stage: Option<EngineStage>) -> Vec<String> {
     let service = "assist".parse().unwrap();
-    let views = fleet.usable(now, &service, stage);
+    let filter = ServerFilter {
+        service: &service,
+        stage,
+        version: &VersionRule::Any,
+        excluded: &BTreeSet::new(),
+    };
+    let views = fleet.usable(now, filter);
     let names = views.iter().map(|view| view.record.instance.to_string());
     names.collect()
 }
