gateway, policy: gateways know which software version began a stream that a caller takes up

A caller that takes a stream up names the request that began it (Resumes); nothing read that, so that the stream went on wherever the load sent it.

Each gateway now keeps the versions of the streams that it forwards. While a service has several versions, or had within 60 s, it tells three others before the first event is handed on and writes them to the store every 250 ms; one that does not know a stream asks five others for 150 ms, then reads the records. The versions of each service stand in one key, written on changes, so that a gateway that has just started does not take the only version that it sees for the only one that may have begun a stream. Where several may have, the request is refused at once with a time to come back. Its state is apart from that of shared.rs. A service with one version sends and writes nothing.

--- a/crates/gateway/src/backend_entries.rs
+++ b/crates/gateway/src/backend_entries.rs
@@ -24,6 +24,7 @@
 };
 use units::InstanceId;
 
+use crate::origin_messages::tell_gateways;
 use crate::shared::GatewayShared;
 
 /// Interval between checks for entries that did not come back.
@@ -48,7 +49,11 @@
     } else {
         state.fleet.replace(now, records, may_return)
     };
+    let own_streams = shared
+        .origins
+        .record_entries(state.fleet.views().map(|view| &view.record));
     drop(guard);
+    tell_gateways(shared, &own_streams);
     for (instance, change) in changes {
         record_backend_change(shared, &instance, change);
     }
@@ -75,7 +80,10 @@
     };
     let applied_change = match change {
         KeyChange::Written(item) => match parse_or_log(shared, &item) {
-            Some(record) => shared.lock().fleet.upsert(record),
+            Some(record) => {
+                tell_gateways(shared, &shared.origins.record_entry(&record));
+                shared.lock().fleet.upsert(record)
+            }
             // Treats an invalid entry as removed, in the same way as `replace_backends`.
             None => shared.lock().fleet.remove(now, &instance, false),
         },
@@ -116,7 +124,10 @@
             Some(until) if now < until => Vec::new(),
             _ => state.fleet.expire(now, all_restored),
         };
+        let records = state.fleet.views().map(|view| &view.record);
+        let own_streams = shared.origins.record_entries(records);
         drop(guard);
+        tell_gateways(&shared, &own_streams);
         for instance in expired_instances {
             shared.metrics.latencies.remove_server(&instance);
             log_backend_change(&shared, &instance, "entry_did_not_return");
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -43,6 +43,7 @@
     send_load_reports, //
 };
 use crate::membership::maintain_leases;
+use crate::origin_store::write_origins;
 use crate::readiness::{
     answer_metrics,
     answer_readiness, //
@@ -115,6 +116,7 @@
         let exchange = shared.settings.peer_address;
         let socket = UdpSocket::bind(exchange).await;
         let socket = Arc::new(socket.context(ListenSnafu { address: exchange })?);
+        let _ = shared.exchange_socket.set(socket.clone());
         // A server stops when the sender of its stop signal is dropped, so this task owns the senders.
         let stop_signals_task = tokio::spawn(async move {
             let _stops = (ready_stop, metric_stop);
@@ -128,6 +130,7 @@
             tokio::spawn(expire_backends(shared.clone())),
             tokio::spawn(maintain_leases(shared.clone())),
             tokio::spawn(write_suspects(shared.clone())),
+            tokio::spawn(write_origins(shared.clone())),
             tokio::spawn(plan_stages(shared.clone())),
             tokio::spawn(send_load_reports(shared.clone(), socket.clone())),
             tokio::spawn(exchange_tokens(shared.clone(), socket.clone())),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hyper::Response;
+use logs::DecisionKind;
 use policy::{
     BackendLoad,
     BackendSelection,
@@ -20,7 +21,10 @@
     select_decode_engine, //
 };
 use tokio::time::Instant;
-use units::DataCentre;
+use units::{
+    DataCentre,
+    SoftwareVersion, //
+};
 use web::ResponseBody;
 
 use crate::attempt::{
@@ -32,6 +36,7 @@
 use crate::in_flight::InFlightGuard;
 use crate::kv_cache::RemoteKvCache;
 use crate::latency::ServerStage;
+use crate::origin_lookup::find_version;
 use crate::prefill::prefill_prompt;
 use crate::request::{
     AttemptHistory,
@@ -46,6 +51,9 @@
     select_with_token, //
 };
 
+/// Shortest delay before a retry of a request whose stream may have begun at several versions.
+const VERSION_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// A selected engine with its address.
 pub(crate) struct SelectedEngine {
     pub(crate) selection: BackendSelection,
@@ -69,8 +77,14 @@
 pub(crate) async fn serve_generation(
     context: Arc<RequestContext>,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let mut history = AttemptHistory::default();
-    context.log_resume();
+    let version = find_version(&context).await.ok_or_else(|| {
+        let spread = VERSION_RETRY_DELAY.mul_f64(rand::random());
+        RequestError::VersionUnknown(VERSION_RETRY_DELAY + spread)
+    })?;
+    let mut history = AttemptHistory {
+        version,
+        ..AttemptHistory::default()
+    };
     context.record_wanted(Some(EngineStage::Prefill));
     context.record_wanted(Some(EngineStage::Decode));
     let stream = open_stream(&context, &mut history, None).await?;
@@ -103,7 +117,7 @@
             select_decode(context, history, kv_cache.as_ref())
         });
         let Some(engine) = selecting.await? else {
-            return Err(history.final_error("no_engine"));
+            return Err(no_engine(context, history));
         };
         let instance = engine.selection.instance.clone();
         if let Err(AttemptError::Quarantined(remaining)) = check_suspect(context) {
@@ -130,6 +144,21 @@
     }
 }
 
+/// Logs that no engine can take a stream, and returns the error.
+fn no_engine(context: &RequestContext, history: &AttemptHistory) -> RequestError {
+    let reason = match history.version {
+        VersionRule::Any => "no_engine",
+        VersionRule::Only(_) | VersionRule::Unmatched => "no_engine_of_version",
+    };
+    let version = history.version.required().map(SoftwareVersion::as_str);
+    let record = context
+        .record(DecisionKind::Retry, "no engine can take the stream")
+        .input("version", version)
+        .input("tried", history.excluded.len());
+    context.shared.log.write(record);
+    history.final_error(reason)
+}
+
 /// Returns whether a decode engine is left for another attempt.
 pub(crate) fn has_other_engine(context: &RequestContext, history: &AttemptHistory) -> bool {
     let state = context.shared.lock();
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -35,6 +35,7 @@
     ServerLoad, //
 };
 
+use crate::origin_messages::accept_stream_message;
 use crate::server_limits::{
     limit_reports,
     merge_limit_reports, //
@@ -168,7 +169,7 @@
 }
 
 fn accept_load_report(shared: &Arc<GatewayShared>, sender: SocketAddr, data: &[u8]) {
-    if accept_token_message(shared, sender, data) {
+    if accept_token_message(shared, sender, data) || accept_stream_message(shared, sender, data) {
         return;
     }
     let report = match GatewayLoad::decode(data) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,9 @@
     pub(crate) limited_servers: IntGauge,
     pub(crate) malformed_limits: IntCounter,
     pub(crate) tokens: IntCounterVec,
+    pub(crate) resumes: IntCounterVec,
+    pub(crate) origins: IntGauge,
+    pub(crate) dropped_origins: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) latencies: LatencyMetrics,
 }
@@ -39,6 +42,8 @@
         let evidence_help = "Evidence that requests crash backend servers, by source";
         let standbys_help = "Attempts beside streams whose engines were silent";
         let malformed_help = "Backend servers that named a malformed limit";
+        let resumes_help = "Streams that callers take up, by where their version was learned";
+        let dropped_help = "Streams whose version was dropped since the table was full";
         let tokens_help = "Tokens for requests to limited backend servers";
         let verdicts_help = "Verdicts on requests suspected of crashing backend servers";
         Self {
@@ -56,6 +61,9 @@
             limited_servers: set.gauge("limited_servers", "Backend servers with a limit"),
             malformed_limits: set.counter("malformed_limits_total", malformed_help),
             tokens: set.counter_vec("tokens_total", tokens_help, "outcome"),
+            resumes: set.counter_vec("resumes_total", resumes_help, "source"),
+            origins: set.gauge("known_streams", "Streams whose version is known"),
+            dropped_origins: set.counter("dropped_streams_total", dropped_help),
             config_version: set.gauge("config_version", "Version of the configuration in force"),
             latencies: LatencyMetrics::new(&set),
             set,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -32,7 +32,6 @@
     QueuePosition,
     RouteRule,
     SelectionRequest,
-    StreamStart,
     VersionRule, //
 };
 use tokio::time::{
@@ -218,20 +217,6 @@
         version.map(SoftwareVersion::to_string)
     }
 
-    /// Logs that a caller takes up a stream.
-    pub(crate) fn log_resume(&self) {
-        let stream = match &self.metadata.stream_start {
-            StreamStart::New => return,
-            StreamStart::Named(stream) => Some(String::from_utf8_lossy(stream).into_owned()),
-            StreamStart::Unknown => None,
-        };
-        let record = self
-            .record(DecisionKind::Resume, "caller takes up a stream")
-            .input("stream", stream)
-            .input("last_event", self.metadata.last_event_id);
-        self.shared.log.write(record);
-    }
-
     /// Logs that a backend server has fallen silent within a stream.
     pub(crate) fn log_silence(&self, instance: &InstanceId, may_retry: bool) {
         let state = self.shared.lock();
@@ -343,11 +328,14 @@
         }
     }
 
-    /// Records the version of the process that made events for the caller. The first one counts.
-    pub(crate) fn record_version(&mut self, version: Option<&SoftwareVersion>) {
-        if self.version == VersionRule::Any {
+    /// Records the version of the process that made events for the caller. Returns whether these are
+    /// the first events of the stream, which determine its version.
+    pub(crate) fn record_version(&mut self, version: Option<&SoftwareVersion>) -> bool {
+        let is_first = self.version == VersionRule::Any;
+        if is_first {
             self.version = VersionRule::begun_by(version);
         }
+        is_first
     }
 
     /// Counts an attempt that did not reach its backend server.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,8 @@
 use std::sync::{
     Arc,
     Mutex,
-    MutexGuard, //
+    MutexGuard,
+    OnceLock, //
 };
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
     SuspectRegistry,
     accepts_while_draining, //
 };
+use tokio::net::UdpSocket;
 use tokio::sync::{
     Notify,
     watch, //
@@ -52,6 +54,7 @@
     PlannerKey, //
 };
 use crate::metrics::GatewayMetrics;
+use crate::origin_state::OriginState;
 use crate::store_era::EraState;
 use crate::suspect_news::SuspectNews;
 use crate::token_state::TokenState;
@@ -146,6 +149,10 @@
     pub(crate) token_news: Notify,
     /// Wakes the task that writes evidence on suspects to the store.
     pub(crate) suspect_writes: Notify,
+    /// Software versions that began streams.
+    pub(crate) origins: OriginState,
+    /// Socket for datagrams to the other gateways, once it is bound.
+    pub(crate) exchange_socket: OnceLock<Arc<UdpSocket>>,
     /// Era of the store, sent when it rises.
     pub(crate) eras: watch::Sender<Option<StoreEra>>,
     state: Mutex<GatewayState>,
@@ -185,6 +192,8 @@
             token_demand: Notify::new(),
             token_news: Notify::new(),
             suspect_writes: Notify::new(),
+            origins: OriginState::default(),
+            exchange_socket: OnceLock::new(),
             eras: watch::Sender::new(None),
             pool: Mutex::new(ConnectionPool::default()),
             settings,
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -34,6 +34,12 @@
     apply_member_change,
     replace_members, //
 };
+use crate::origin_store::{
+    STREAM_PREFIX,
+    VERSION_PREFIX,
+    apply_origin_change,
+    replace_origins, //
+};
 use crate::shared::GatewayShared;
 use crate::store_era::{
     next_load,
@@ -100,6 +106,7 @@
     let members = load_range(shared, GATEWAY_PREFIX).await?;
     replace_members(shared, &members.items);
     replace_suspects(shared, &members.items);
+    replace_origins(shared, &members.items);
     let config = load_range(shared, CONFIG_KEY).await?;
     config
         .items
@@ -161,6 +168,8 @@
         apply_backend_change(shared, change);
     } else if key.starts_with(SUSPECT_PREFIX) {
         apply_suspect_change(shared, &change);
+    } else if key.starts_with(STREAM_PREFIX) || key.starts_with(VERSION_PREFIX) {
+        apply_origin_change(shared, &change);
     } else if key.starts_with(GATEWAY_PREFIX) {
         apply_member_change(shared, &change);
     } else if let KeyChange::Written(item) = &change {
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -14,6 +14,7 @@
 
 use crate::answer_watch::AnswerWatch;
 use crate::generation::open_stream;
+use crate::origin_lookup::record_first_event;
 use crate::request::{
     AttemptHistory,
     RequestContext, //
@@ -171,7 +172,9 @@
         if events.is_empty() {
             return Ok(());
         }
-        self.history.record_version(attempt.version.as_ref());
+        if self.history.record_version(attempt.version.as_ref()) {
+            record_first_event(&self.context, attempt.version.as_ref());
+        }
         self.timing.record(self.context.started.elapsed());
         tokio::select! {
             is_delivered = self.chunks.send(events) => {
--- /dev/null
+++ b/crates/policy/src/version_history.rs
@@ -0,0 +1,120 @@
+//! Software versions that the engines of each service run, or ran a short time ago.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::{
+    ServiceName,
+    SoftwareVersion, //
+};
+
+use crate::BackendRecord;
+
+/// Time after which a version that is gone has begun no stream that a caller may still take up.
+pub const VERSION_MEMORY: Duration = Duration::from_secs(60);
+
+/// Versions of one service; `None` stands for engines that state none.
+pub type KnownVersions = BTreeSet<Option<SoftwareVersion>>;
+
+#[derive(Debug, Clone, Copy)]
+struct VersionUse {
+    last_seen: Instant,
+    is_present: bool,
+}
+
+/// Versions of the engines of all services, with when each was last seen.
+#[derive(Debug, Clone, Default)]
+pub struct VersionHistory {
+    services: BTreeMap<ServiceName, BTreeMap<Option<SoftwareVersion>, VersionUse>>,
+}
+
+impl VersionHistory {
+    /// Records the entry of a backend server. Returns whether its version is new to a service that has
+    /// another one.
+    pub fn record_entry(&mut self, now: Instant, record: &BackendRecord) -> bool {
+        if record.stage.is_none() {
+            return false;
+        }
+        let entry = VersionUse {
+            last_seen: now,
+            is_present: true,
+        };
+        let known = self.services.get_mut(&record.service);
+        if let Some(known) = known.and_then(|versions| versions.get_mut(&record.version)) {
+            let was_recent = now < known.last_seen + VERSION_MEMORY;
+            *known = entry;
+            return !was_recent && self.is_mixed(now, &record.service);
+        }
+        let versions = self.services.entry(record.service.clone()).or_default();
+        versions.insert(record.version.clone(), entry);
+        self.is_mixed(now, &record.service)
+    }
+
+    /// Records all entries. Versions without an entry are gone. Returns the services to which a version
+    /// is new beside another one.
+    pub fn record_entries<'a>(
+        &mut self,
+        now: Instant,
+        records: impl Iterator<Item = &'a BackendRecord>,
+    ) -> BTreeSet<ServiceName> {
+        let versions = self.services.values_mut().flat_map(BTreeMap::values_mut);
+        versions.for_each(|version| version.is_present = false);
+        let mut mixed = BTreeSet::new();
+        for record in records {
+            if self.record_entry(now, record) {
+                mixed.insert(record.service.clone());
+            }
+        }
+        mixed
+    }
+
+    /// Adds a version that another gateway has seen. Has no effect on a known one.
+    pub fn add(&mut self, now: Instant, service: &ServiceName, version: Option<SoftwareVersion>) {
+        let versions = self.services.entry(service.clone()).or_default();
+        versions.entry(version).or_insert(VersionUse {
+            last_seen: now,
+            is_present: false,
+        });
+    }
+
+    /// Returns the versions of a service that may have begun a stream which a caller takes up.
+    pub fn recent(&self, now: Instant, service: &ServiceName) -> KnownVersions {
+        self.select(service, |version| {
+            now < version.last_seen + VERSION_MEMORY //
+        })
+    }
+
+    /// Returns the versions of the entries of a service.
+    pub fn present(&self, service: &ServiceName) -> KnownVersions {
+        self.select(service, |version| version.is_present)
+    }
+
+    /// Returns whether a version was ever seen in a service.
+    pub fn contains(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let versions = self.services.get(service);
+        let name = Some(version.clone());
+        versions.is_some_and(|versions| versions.contains_key(&name))
+    }
+
+    /// Returns whether more than one version may have begun a stream that a caller takes up.
+    pub fn is_mixed(&self, now: Instant, service: &ServiceName) -> bool {
+        let versions = self.services.get(service).into_iter().flatten();
+        let recent = versions.filter(|(_, version)| now < version.last_seen + VERSION_MEMORY);
+        recent.take(2).count() > 1
+    }
+
+    /// Returns all services with engines.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
+    fn select(&self, service: &ServiceName, fits: impl Fn(&VersionUse) -> bool) -> KnownVersions {
+        let versions = self.services.get(service).into_iter().flatten();
+        let fitting = versions.filter(|(_, version)| fits(version));
+        fitting.map(|(version, _)| version.clone()).collect()
+    }
+}
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -26,6 +26,7 @@
 pub use number::RequestId;
 pub use number::SegmentId;
 pub use number::StoreEra;
+pub use number::StreamKey;
 pub use number::TokenCount;
 pub use number::TokenRate;
 pub use number::WorthPoints;
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -120,6 +120,8 @@
     IncarnationId(u64, "16") => "incarnation";
     /// Prefix segment of a prompt, which several requests may share.
     SegmentId(u64, "8") => "prefix segment";
+    /// Hash of the name of a stream and its service.
+    StreamKey(u64, "16") => "stream key";
     /// Request of a caller, the same for all its attempts.
     RequestId(u128, "32") => "request id";
 }
