gateway: a stream of a single version is taken up as soon as one gateway has answered

While one version serves, and the entries are those of the last seconds, no answer changes what may go on with the stream. Without this, each resumption after the loss of a gateway waited 150 ms for that gateway, whose member key lives for 20 s.

--- a/crates/gateway/src/origin_lookup.rs
+++ b/crates/gateway/src/origin_lookup.rs
@@ -197,7 +197,7 @@
             open.asked.extend(asked);
         }
         let round_end = (Instant::now() + ASK_INTERVAL).min(until);
-        if is_last || await_answers(origins, number, key, round_end).await {
+        if is_last || await_answers(shared, service, number, key, round_end).await {
             break;
         }
     }
@@ -220,18 +220,19 @@
 }
 
 /// Waits until a question is settled. Returns whether it is.
-async fn await_answers(origins: &OriginState, number: u64, key: StreamKey, until: Instant) -> bool {
+async fn await_answers(
+    shared: &GatewayShared,
+    service: &ServiceName,
+    number: u64,
+    key: StreamKey,
+    until: Instant,
+) -> bool {
+    let origins = &shared.origins;
     loop {
         let answered = origins.answers.notified();
         tokio::pin!(answered);
         answered.as_mut().enable();
-        let is_settled = {
-            let tables = origins.lock();
-            let open = tables.questions.get(&number);
-            open.is_none_or(|open| open.asked.is_subset(&open.answered))
-                || tables.streams.get(Instant::now(), key).is_some()
-        };
-        if is_settled {
+        if is_settled(shared, service, number, key) {
             return true;
         }
         tokio::select! {
@@ -241,6 +242,26 @@
     }
 }
 
+/// Returns whether a stream is known, all gateways have answered, or no answer can matter since there
+/// is a single version.
+fn is_settled(shared: &GatewayShared, service: &ServiceName, number: u64, key: StreamKey) -> bool {
+    let versions = {
+        let tables = shared.origins.lock();
+        let Some(open) = tables.questions.get(&number) else {
+            return true;
+        };
+        let is_known = tables.streams.get(Instant::now(), key).is_some();
+        if is_known || open.asked.is_subset(&open.answered) {
+            return true;
+        }
+        if open.answered.is_empty() {
+            return false;
+        }
+        open.versions.clone()
+    };
+    candidates(shared, service, versions).len() <= 1 && is_fresh(shared)
+}
+
 /// Waits a little for the entry of an engine with a version that this gateway has never seen, as after
 /// a time without the store.
 async fn await_entry(context: &RequestContext, version: &SoftwareVersion) {
