gateway, platform: a stream goes on only at the process whose version its entry states

An engine may be back under its id and address at another version before its entry is known.

Before a request that goes on with a stream, the engine's report is read on the same connection, and must state the start time of the entry. A process takes its connections with it, so that the request reaches the process that answered, or none. Ruled out: a report on another connection, between which and the request the process may change. Streams that begin are not checked; their version is that of the entry.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -58,6 +58,8 @@
 pub(crate) struct SelectedEngine {
     pub(crate) selection: BackendSelection,
     pub(crate) address: SocketAddr,
+    /// Start time of its process in its entry, in milliseconds since the Unix epoch.
+    pub(crate) started_unix_ms: Option<u64>,
     /// Data centre of the engine.
     pub(crate) centre: DataCentre,
     /// Queue position of the prompt among those that wait for prefill on the engine.
@@ -128,7 +130,14 @@
         }
         history.sending_to = Some(instance.clone());
         let started = Instant::now();
-        let result = send_decode(context, engine, &mut kv_cache, resume_after).await;
+        let result = send_decode(
+            context,
+            engine,
+            &mut kv_cache,
+            resume_after,
+            &history.version,
+        )
+        .await;
         history.sending_to = None;
         let error = match result {
             Ok(stream) => {
@@ -241,6 +250,7 @@
         view.record.centre.clone(),
         view.record.stage,
     );
+    let started_unix_ms = view.record.started_unix_ms;
     let filter = ServerFilter {
         service: &context.service,
         stage,
@@ -254,6 +264,7 @@
     Some(SelectedEngine {
         selection,
         address,
+        started_unix_ms,
         centre,
         position,
         token,
@@ -266,7 +277,12 @@
     mut engine: SelectedEngine,
     kv_cache: &mut Option<RemoteKvCache>,
     resume_after: Option<u64>,
+    version: &VersionRule,
 ) -> Result<OpenStream, AttemptError> {
+    // The entry may be that of an earlier process, with another version.
+    let required_start = engine
+        .started_unix_ms
+        .filter(|_| *version != VersionRule::Any);
     let token = engine.token.take();
     let instance = &engine.selection.instance;
     let output_tokens = context.output_tokens();
@@ -287,7 +303,7 @@
         metadata.kv_source = Some((kv_cache.address, kv_cache.handle.clone()));
     }
     let started = Instant::now();
-    let response = start_attempt(context, engine.address, &metadata).await;
+    let response = start_attempt(context, engine.address, &metadata, required_start).await;
     if response.is_ok() {
         let latencies = &context.shared.metrics.latencies;
         latencies.observe_stage(ServerStage::Decode, instance, started.elapsed());
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -65,7 +65,7 @@
         let mut in_flight = InFlightGuard::new(context, &instance, load, token);
         let started = Instant::now();
         let metadata = context.attempt_metadata(&instance, context.urgency().position());
-        let result = match start_attempt(context, address, &metadata).await {
+        let result = match start_attempt(context, address, &metadata, None).await {
             Ok(response) => read_response(context, &instance, response).await,
             Err(error) => Err(error),
         };
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -161,7 +161,7 @@
     let mut metadata = context.attempt_metadata(instance, engine.position);
     metadata.prefill_only = true;
     let started = Instant::now();
-    let response = start_attempt(context, engine.address, &metadata).await;
+    let response = start_attempt(context, engine.address, &metadata, None).await;
     if matches!(response, Err(AttemptError::Unreachable)) {
         in_flight.return_token();
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -19,7 +19,9 @@
 use logs::DecisionKind;
 use platform::{
     AttemptMetadata,
+    ProcessCheck,
     ResponseMetadata,
+    check_process,
     strip_hop_by_hop_headers, //
 };
 use policy::AttemptOutcome;
@@ -54,9 +56,14 @@
     record_stated_limit, //
 };
 use crate::shared::GatewayShared;
+use crate::token_ticket::charge_request;
 
 /// Timeout for establishing a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of the check which process a connection leads to.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of connections that may fail this check without an answer.
+const MAX_UNUSABLE: u32 = 2;
 /// Idle timeout of a pooled connection if the backend server states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Margin by which a pooled connection expires before the idle timeout that the backend server
@@ -69,15 +76,17 @@
 /// Size limit of a response body that is read completely.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
-/// Sends a request and waits for the head of the response.
+/// Sends a request and waits for the head of the response. With `required_start`, it is sent only to
+/// the process that started then, in milliseconds since the Unix epoch.
 pub(crate) async fn start_attempt(
     context: &RequestContext,
     address: SocketAddr,
     metadata: &AttemptMetadata,
+    required_start: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
     let starting = async {
         tokio::select! {
-            result = start_without_timeout(context, address, metadata) => result,
+            result = start_without_timeout(context, address, metadata, required_start) => result,
             never = record_silence(context, &metadata.instance) => match never {},
         }
     };
@@ -160,7 +169,9 @@
     context: &RequestContext,
     address: SocketAddr,
     metadata: &AttemptMetadata,
+    required_start: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
+    let mut unusable_count = 0;
     loop {
         let pooled = context.shared.pool().acquire(Instant::now(), address);
         let mut connection = match pooled {
@@ -171,6 +182,19 @@
                 connected.map_err(|_| AttemptError::Unreachable)?
             }
         };
+        if let Some(started) = required_start {
+            charge_request(&context.shared, &metadata.instance);
+            let check = check_process(&mut connection, &metadata.instance, started, CHECK_TIMEOUT);
+            match check.await {
+                ProcessCheck::Expected => {}
+                ProcessCheck::Other => return Err(AttemptError::NotProcessed("other_process")),
+                ProcessCheck::Unusable if unusable_count < MAX_UNUSABLE => {
+                    unusable_count += 1;
+                    continue;
+                }
+                ProcessCheck::Unusable => return Err(AttemptError::Unreachable),
+            }
+        }
         let request = build_request(context, address, metadata)?;
         let question = LimitQuestion::new(&context.shared, &metadata.instance);
         match connection.send(request).await {
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -82,6 +82,11 @@
         })
     }
 
+    /// Returns the address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a request and waits for the response header.
     pub async fn send(
         &mut self,
