gateway, policy: KV caches are fetched from engines of the same version where these have room

Prefill writes no events, so that this is no fault of a stream by itself, but what two versions write does not fit together.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -16,6 +16,7 @@
     EngineStage,
     PrefillBacklog,
     QueuePosition,
+    SelectionRequest,
     ServerFilter,
     VersionRule,
     select_decode_engine, //
@@ -219,7 +220,10 @@
     let capacity = state.engine_capacity(&context.service);
     let layout = &context.metadata.prompt_layout;
     let source = kv_cache.map(|kv_cache| &kv_cache.centre);
-    let request = context.selection_request(history);
+    let request = SelectionRequest {
+        preferred_version: kv_cache.and_then(|kv_cache| kv_cache.version.as_ref()),
+        ..context.selection_request(history)
+    };
     let selection = select_decode_engine(&state.fleet, now, request, layout, capacity, source)?;
     let position = context.urgency().position();
     record_selection(
--- a/crates/gateway/src/kv_cache.rs
+++ b/crates/gateway/src/kv_cache.rs
@@ -10,7 +10,8 @@
 };
 use units::{
     DataCentre,
-    InstanceId, //
+    InstanceId,
+    SoftwareVersion, //
 };
 
 use crate::shared::GatewayShared;
@@ -28,6 +29,8 @@
     pub(crate) address: SocketAddr,
     /// Data centre of the prefill engine.
     pub(crate) centre: DataCentre,
+    /// Software version of the prefill engine.
+    pub(crate) version: Option<SoftwareVersion>,
     /// Name by which the prefill engine knows the KV cache.
     pub(crate) handle: String,
     /// Whether an engine has been told to fetch the KV cache.
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -82,6 +82,7 @@
     // Prefill engines write no events.
     let prefill_request = SelectionRequest {
         version: &VersionRule::Any,
+        preferred_version: history.version.required(),
         ..request
     };
     let selection = select_prefill_engine(
@@ -191,6 +192,7 @@
         instance: engine.selection.instance,
         address: engine.address,
         centre: engine.centre,
+        version: engine.selection.version,
         handle: prefill.handle,
         fetch_requested: false,
         fetch_refused: false,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -164,6 +164,7 @@
             centre: &self.shared.settings.data_centre,
             excluded: &history.excluded,
             version: &history.version,
+            preferred_version: None,
         }
     }
 
--- a/crates/policy/src/backend_selection.rs
+++ b/crates/policy/src/backend_selection.rs
@@ -30,6 +30,8 @@
 const REMOTE_PENALTY_MS: f64 = 6.0;
 /// Penalty per 1,000 tokens for the transfer of a KV cache to another data centre.
 const REMOTE_TRANSFER_MS_PER_1000_TOKENS: f64 = 30.0;
+/// Penalty for a backend server of another version than the preferred one.
+const OTHER_VERSION_PENALTY_MS: f64 = 30.0;
 /// Penalty at a failure rate of 1; lower rates count in proportion.
 const FAILURE_PENALTY_MS: f64 = 400.0;
 /// Share of the shared segments expected in the cache of the preferred engine, since other gateways
@@ -80,6 +82,8 @@
     pub excluded: &'a BTreeSet<InstanceId>,
     /// Software versions that may serve the request.
     pub version: &'a VersionRule,
+    /// Version that is preferred, since the KV cache or the stream is of it.
+    pub preferred_version: Option<&'a SoftwareVersion>,
 }
 
 struct Candidate<'a> {
@@ -128,6 +132,15 @@
     })
 }
 
+fn version_penalty_ms(view: &BackendView, request: SelectionRequest<'_>) -> f64 {
+    let preferred = request.preferred_version;
+    if preferred.is_none() || preferred == view.record.version.as_ref() {
+        0.0
+    } else {
+        OTHER_VERSION_PENALTY_MS
+    }
+}
+
 fn remote_penalty_ms(view: &BackendView, centre: &DataCentre) -> f64 {
     if view.record.centre == *centre {
         0.0
@@ -216,6 +229,7 @@
                 + prefill_ms
                 + recompute_ms
                 + failure_ms
+                + version_penalty_ms(view, request)
                 + remote_penalty_ms(view, request.centre),
             wait_ms,
             uncached_tokens,
@@ -264,6 +278,7 @@
                 + cache_use * KV_CACHE_PENALTY_MS
                 + transfer_ms
                 + failure_ms
+                + version_penalty_ms(view, request)
                 + remote_ms,
             wait_ms,
             uncached_tokens,
--- a/crates/policy/tests/backend_selection.rs
+++ b/crates/policy/tests/backend_selection.rs
@@ -92,6 +92,7 @@
             centre: &self.centre,
             excluded: &self.excluded,
             version: &VersionRule::Any,
+            preferred_version: None,
         }
     }
 
--- a/crates/policy/tests/stream_versions.rs
+++ b/crates/policy/tests/stream_versions.rs
@@ -58,6 +58,7 @@
         centre: &"a".parse().unwrap(),
         excluded: &excluded,
         version,
+        preferred_version: None,
     };
     let layout: PromptLayout = "5c1e07a2:40,e4402b7d:50".parse().unwrap();
     let now = Instant::now();
