gateway, policy: a backend server that says that it leaves gets no more requests

Requests still reached servers that had said in their answers that they leave (DRAIN): while the store is silent, the entry does not say so, and nothing read Server-Leaving. The word now counts for the process, entry and start, that gave it: from the first answer of any kind to a request on, at this gateway, and by load reports at the others and at one that starts later. It holds whatever the entry or a later answer says; the next process is new. The planner does not count the server. A value other than 1 is counted and is no word.

Whether a server may get a request now is one decision in policy with a typed reason (BackendView::unavailability), which selection, has_other_engine, queues for tokens and estimates share; draining, leaving and tokens are in it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod in_flight;
 mod kv_cache;
 mod latency;
+mod leaving_servers;
 mod load_exchange;
 mod membership;
 mod metrics;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -35,6 +35,10 @@
     ServerLoad, //
 };
 
+use crate::leaving_servers::{
+    leaving_reports,
+    merge_leaving_reports, //
+};
 use crate::origin_messages::accept_stream_message;
 use crate::server_limits::{
     limit_reports,
@@ -137,6 +141,7 @@
     });
     report.loads = loads.collect();
     report.limits = limit_reports(now, state);
+    report.leaving = leaving_reports(state);
     report
 }
 
@@ -199,6 +204,7 @@
         .apply(now, peer.clone(), incarnation, report.number, loads);
     drop(guard);
     merge_limit_reports(shared, &peer, &report.limits);
+    merge_leaving_reports(shared, &peer, &report.leaving);
     for evidence in parse_reports(now, &report) {
         merge_peer_evidence(shared, &peer, &evidence);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) limited_servers: IntGauge,
     pub(crate) malformed_limits: IntCounter,
     pub(crate) tokens: IntCounterVec,
+    pub(crate) leaving_notices: IntCounter,
+    pub(crate) malformed_notices: IntCounter,
     pub(crate) resumes: IntCounterVec,
     pub(crate) origins: IntGauge,
     pub(crate) dropped_origins: IntCounter,
@@ -42,6 +44,8 @@
         let evidence_help = "Evidence that requests crash backend servers, by source";
         let standbys_help = "Attempts beside streams whose engines were silent";
         let malformed_help = "Backend servers that named a malformed limit";
+        let leaving_help = "Processes of backend servers that said that they leave";
+        let notices_help = "Answers whose word that their server leaves is malformed";
         let resumes_help = "Streams that callers take up, by where their version was learned";
         let dropped_help = "Streams whose version was dropped since the table was full";
         let tokens_help = "Tokens for requests to limited backend servers";
@@ -61,6 +65,8 @@
             limited_servers: set.gauge("limited_servers", "Backend servers with a limit"),
             malformed_limits: set.counter("malformed_limits_total", malformed_help),
             tokens: set.counter_vec("tokens_total", tokens_help, "outcome"),
+            leaving_notices: set.counter("leaving_servers_total", leaving_help),
+            malformed_notices: set.counter("malformed_notices_total", notices_help),
             resumes: set.counter_vec("resumes_total", resumes_help, "source"),
             origins: set.gauge("known_streams", "Streams whose version is known"),
             dropped_origins: set.counter("dropped_streams_total", dropped_help),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -50,6 +50,7 @@
     has_crash_evidence,
     record_crash, //
 };
+use crate::leaving_servers::record_notice;
 use crate::request::RequestContext;
 use crate::server_limits::{
     LimitQuestion,
@@ -244,6 +245,7 @@
         return Err(AttemptError::Unsure("answer_to_another"));
     }
     record_stated_limit(&context.shared, question, metadata.server_limit);
+    record_notice(&context.shared, question, metadata.leaving);
     if metadata.not_processed {
         let response = OpenResponse {
             http: Response::from_parts(head, body),
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -105,7 +105,10 @@
     now: Instant,
 ) -> Vec<StageObservation> {
     let views = state.fleet.views();
-    let engines = views.filter(|view| view.record.service == *service && !view.record.draining);
+    let engines = views.filter(|view| {
+        let has_gone = view.record.draining || view.is_leaving();
+        view.record.service == *service && !has_gone
+    });
     let observations = engines.filter_map(|view| {
         let record = &view.record;
         let stage = record.stage?;
--- /dev/null
+++ b/crates/policy/src/availability.rs
@@ -0,0 +1,45 @@
+//! Whether a backend server may get a request now.
+
+use tokio::time::Instant;
+
+use crate::fleet::BackendView;
+
+/// Why a backend server gets no request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Unavailability {
+    /// Its entry says that it drains.
+    Draining,
+    /// Its process has said in an answer that it leaves.
+    Leaving,
+    /// There is no token for its limit.
+    WithoutToken,
+}
+
+impl Unavailability {
+    /// Returns the reason's name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::Leaving => "leaving",
+            Self::WithoutToken => "without_token",
+        }
+    }
+}
+
+impl BackendView {
+    /// Returns why the backend server gets no request now, or `None` if it may get one.
+    ///
+    /// A server that is paused or silent is no candidate only while others are, which depends on the
+    /// others; see [`crate::BackendFleet::usable`].
+    pub fn unavailability(&self, now: Instant) -> Option<Unavailability> {
+        if self.record.draining {
+            Some(Unavailability::Draining)
+        } else if self.is_leaving() {
+            Some(Unavailability::Leaving)
+        } else if !self.limit.has_token(now) {
+            Some(Unavailability::WithoutToken)
+        } else {
+            None
+        }
+    }
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -15,7 +15,8 @@
     EngineStage,
     PromptLayout,
     ServerFilter,
-    ServerLimit, //
+    ServerLimit,
+    Unavailability, //
 };
 
 /// Time for which a registry entry that vanished during a store disturbance is kept. The platform
@@ -81,6 +82,7 @@
     /// Limit that the server names, with the tokens for it.
     pub limit: ServerLimit,
     pub(crate) cache: CacheEstimate,
+    is_leaving: bool,
     mean_response_seconds: Option<f64>,
     missing_since: Option<Instant>,
     /// Time of the last data, or of the first request sent to an idle backend server.
@@ -97,6 +99,7 @@
             health: BackendHealth::default(),
             limit: ServerLimit::default(),
             cache: CacheEstimate::default(),
+            is_leaving: false,
             mean_response_seconds: None,
             missing_since: None,
             last_liveness: None,
@@ -160,8 +163,14 @@
         self.cache.record_prefill(layout, capacity_tokens);
     }
 
-    fn accepts_work(&self) -> bool {
-        !self.record.draining
+    /// Returns whether the process has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Records that the process has said that it leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
     }
 }
 
@@ -189,6 +198,7 @@
             view.cache.clear();
             view.health = BackendHealth::default();
             view.limit = ServerLimit::default();
+            view.is_leaving = false;
             return Some(BackendChange::Restarted);
         }
         if before.draining != view.record.draining {
@@ -211,7 +221,7 @@
         may_return: bool,
     ) -> Option<BackendChange> {
         let view = self.views.get_mut(instance)?;
-        if may_return && view.accepts_work() {
+        if may_return && !view.record.draining && !view.is_leaving {
             let is_first = view.missing_since.is_none();
             view.missing_since.get_or_insert(now);
             return is_first.then_some(BackendChange::EntryMissing);
@@ -281,9 +291,8 @@
     /// Returns the backend servers that fit and accept new requests now. Those without a token for their limit do not. Paused and unresponsive ones are included only if there are no
     /// others.
     pub fn usable<'a>(&'a self, now: Instant, filter: ServerFilter<'_>) -> Vec<&'a BackendView> {
-        let fits = |view: &&BackendView| {
-            filter.admits(&view.record) && view.accepts_work() && view.limit.has_token(now)
-        };
+        let fits =
+            |view: &&BackendView| filter.admits(&view.record) && view.unavailability(now).is_none();
         let accepting: Vec<&BackendView> = self.views.values().filter(fits).collect();
         let is_responsive =
             |view: &&&BackendView| !view.health.is_paused(now) && !view.is_unresponsive(now);
@@ -304,7 +313,8 @@
     ) -> impl Iterator<Item = &'a BackendView> {
         let views = self.views.values();
         views.filter(move |view| {
-            filter.admits(&view.record) && view.accepts_work() && !view.limit.has_token(now)
+            filter.admits(&view.record)
+                && view.unavailability(now) == Some(Unavailability::WithoutToken)
         })
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! daemons, tests and simulations run the same code.
 
 mod answer;
+mod availability;
 mod backend;
 mod backend_load;
 mod backend_selection;
@@ -60,6 +61,7 @@
 
 pub use answer::AnswerAssembler;
 pub use answer::ChunkVerdict;
+pub use availability::Unavailability;
 pub use backend::BackendRecord;
 pub use backend::EngineStage;
 pub use backend_load::BackendLoad;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -42,6 +42,7 @@
 pub use messages::GenerateRequest;
 pub use messages::Heartbeat;
 pub use messages::LeaveNotice;
+pub use messages::LeavingServer;
 pub use messages::LimitReport;
 pub use messages::LoadStatus;
 pub use messages::OrderVerdict;
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -20,6 +20,7 @@
 pub use gateway_load::CrashReport;
 pub use gateway_load::CrashStateCode;
 pub use gateway_load::GatewayLoad;
+pub use gateway_load::LeavingServer;
 pub use gateway_load::SegmentReport;
 pub use gateway_load::ServerLoad;
 pub use gateway_load::SuspectReport;
--- a/crates/wire/src/messages/gateway_load.rs
+++ b/crates/wire/src/messages/gateway_load.rs
@@ -88,6 +88,18 @@
     pub evidence: Option<SuspectReport>,
 }
 
+/// Process of a backend server that has said that it leaves.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct LeavingServer {
+    /// Instance id of the backend server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Start of its process in milliseconds since the Unix epoch, if it publishes it.
+    #[prost(fixed64, optional, tag = "2")]
+    pub started_unix_ms: Option<u64>,
+}
+
 /// Load of one gateway on all backend servers, sent as one datagram.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
@@ -116,4 +128,7 @@
     /// Limits that backend servers have named.
     #[prost(message, repeated, tag = "9")]
     pub limits: Vec<LimitReport>,
+    /// Backend servers that have said that they leave.
+    #[prost(message, repeated, tag = "10")]
+    pub leaving: Vec<LeavingServer>,
 }
