gateway: versions in the store that another gateway removes are not written back

After a load of all keys, a gateway also wrote the versions that were gone for less than 60 s, and went on to do so although the store had them all: two gateways whose 60 s end at different times would have written in turns. From the code; not seen in a run.

--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -224,8 +224,9 @@
 /// versions to write and the revision that they replace.
 fn next_versions(shared: &GatewayShared) -> Option<(ServiceName, SavedVersions)> {
     let now = Instant::now();
-    let tables = shared.origins.lock();
-    tables.history.services().find_map(|service| {
+    let mut guard = shared.origins.lock();
+    let tables = &mut *guard;
+    let next = tables.history.services().find_map(|service| {
         let present = tables.history.present(service);
         let recent = tables.history.recent(now, service);
         let saved = tables.saved.get(service);
@@ -243,7 +244,11 @@
         };
         let differs = versions.versions != kept && !versions.versions.is_empty();
         differs.then(|| (service.clone(), versions))
-    })
+    });
+    if next.is_none() {
+        tables.outdated.clear();
+    }
+    next
 }
 
 /// Reads all records of streams, unless another request has begun to do so since `arrived`.
