gateway: no attempt is made so late that its answer is not read

The gateway's log has no line of the rest. Cause: the request reached the server with no time left (left_ms 0 on its route line), or waited in the server's queue until the deadline that the gateway had set, so that the refusal and the gateway's own timeout came at once, and nobody read the Retry-After. Ruled out: answers to releases and probes, which were read by then and showed nothing.

A server is now told a deadline 10 ms before the gateway's, a quarter of the time left at most, and no attempt but the first is made with less than 25 ms left.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -113,7 +113,7 @@
             check_tokens(context, history, EngineStage::Decode)?;
             kv_cache = prefill_prompt(context, history).await;
         }
-        if context.time_left().is_zero() {
+        if !context.has_time_for_attempt(history) {
             return Err(RequestError::DeadlineExceeded);
         }
         let selecting = select_with_token(context, history, Some(EngineStage::Decode), || {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -44,6 +44,9 @@
     let mut history = AttemptHistory::default();
     context.record_wanted(None);
     loop {
+        if !context.has_time_for_attempt(&history) {
+            return Err(RequestError::DeadlineExceeded);
+        }
         let selecting = select_with_token(context, &history, None, || {
             select_and_log(context, &history) //
         });
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -44,7 +44,10 @@
     context: &Arc<RequestContext>,
     history: &mut AttemptHistory,
 ) -> Option<RemoteKvCache> {
-    while history.prefill_attempts < MAX_PREFILL_ATTEMPTS && !history.has_been_unreachable() {
+    while history.prefill_attempts < MAX_PREFILL_ATTEMPTS
+        && !history.has_been_unreachable()
+        && context.has_time_for_attempt(history)
+    {
         let engine = select_prefill(context, history)?;
         check_suspect(context).ok()?;
         if history.prefill_attempts > 0 && !context.shared.try_spend_retry(&context.service) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -56,6 +56,13 @@
 /// between further checks.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time left below which no further attempt is made, since its answer would not be read: neither the
+/// response nor what the backend server says of itself.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(25);
+
+/// Longest time before the deadline at which a backend server gives up.
+const MAX_ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
 /// A request of a caller with the route that matches it.
 pub(crate) struct RequestContext {
     pub(crate) shared: Arc<GatewayShared>,
@@ -178,7 +185,7 @@
         let full_prefill_time = capacity.prefill_time(self.metadata.prompt_layout.tokens());
         AttemptMetadata {
             instance: instance.clone(),
-            time_left: Some(self.time_left()),
+            time_left: Some(self.time_left().saturating_sub(self.answer_margin())),
             priority: self.urgency().priority(position, full_prefill_time),
             prefill_only: false,
             kv_source: None,
@@ -186,6 +193,12 @@
         }
     }
 
+    /// Returns the time in which the answer of a backend server that gives up must arrive before the
+    /// deadline. It says that the request has not run, and may say that the server rests.
+    fn answer_margin(&self) -> Duration {
+        MAX_ANSWER_MARGIN.min(self.time_left() / 4)
+    }
+
     /// Waits until a backend server shows no liveness signal on any connection.
     pub(crate) async fn wait_until_unresponsive(&self, instance: &InstanceId) {
         loop {
@@ -196,6 +209,11 @@
         }
     }
 
+    /// Returns whether there is time for another attempt. The first one is made in any case.
+    pub(crate) fn has_time_for_attempt(&self, history: &AttemptHistory) -> bool {
+        history.is_empty() || self.time_left() >= MIN_ATTEMPT_TIME
+    }
+
     /// Returns whether a request that may have been processed may be sent again.
     pub(crate) fn may_retry(&self, history: &AttemptHistory) -> bool {
         self.rule.kind.is_retryable() && history.maybe_processed < self.rule.max_attempts
