gateway, platform: the words of servers in answers to probes, reports, orders and releases are read

A server says in all its answers that it leaves, and may turn away what is asked of itself with a time to rest. Only answers to callers' requests were read. A resting server is not probed after a response of unknown length either.

--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -78,7 +78,7 @@
         return true;
     }
     charge_request(shared, instance);
-    let answer = target.probe(instance, SILENCE_PROBE_TIMEOUT).await;
+    let answer = target.probe(shared, instance, SILENCE_PROBE_TIMEOUT).await;
     let is_alive = matches!(answer, Ok(ProbeAnswer::Alive { .. }));
     *last_result = Some(SilenceProbe {
         at: Instant::now(),
@@ -167,7 +167,7 @@
         return None;
     }
     charge_request(shared, &crash.server);
-    match target.probe(&crash.server, timeout).await {
+    match target.probe(shared, &crash.server, timeout).await {
         Ok(answer) => state_after(process_state(answer, crash.incarnation), crash),
         Err(error) => {
             if is_last {
--- a/crates/gateway/src/kv_cache.rs
+++ b/crates/gateway/src/kv_cache.rs
@@ -15,6 +15,8 @@
     SoftwareVersion, //
 };
 
+use crate::server_limits::LimitQuestion;
+use crate::server_notices::record_notices;
 use crate::shared::GatewayShared;
 use crate::token_ticket::charge_request;
 
@@ -54,10 +56,12 @@
             return;
         }
         charge_request(&shared, &self.instance);
+        let question = LimitQuestion::new(&shared, &self.instance);
         let (address, handle) = (self.address, std::mem::take(&mut self.handle));
         tokio::spawn(async move {
-            if let Err(error) = platform::release_kv_handle(address, &handle, RELEASE_TIMEOUT).await
-            {
+            let observe = |notices| record_notices(&shared, &question, notices);
+            let releasing = platform::release_kv_handle(address, &handle, RELEASE_TIMEOUT, observe);
+            if let Err(error) = releasing.await {
                 let record = DecisionRecord::new(
                     DecisionKind::Send,
                     "failed to release a KV cache; it expires on its engine",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod send;
 mod serve;
 mod server_limits;
+mod server_notices;
 mod server_process;
 mod server_rests;
 mod shared;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -50,13 +50,12 @@
     has_crash_evidence,
     record_crash, //
 };
-use crate::leaving_servers::record_notice;
 use crate::request::RequestContext;
 use crate::server_limits::{
     LimitQuestion,
     record_stated_limit, //
 };
-use crate::server_rests::record_rest;
+use crate::server_notices::record_notices;
 use crate::shared::GatewayShared;
 use crate::token_ticket::charge_request;
 
@@ -137,7 +136,7 @@
 ) {
     let (name, outcome) = match result {
         // A server that asks for a rest has not failed.
-        Ok(response) if response.metadata.rest.is_some() => (RESTING, None),
+        Ok(response) if response.metadata.notices.rest.is_some() => (RESTING, None),
         Err(AttemptError::NotProcessed(RESTING)) => (RESTING, None),
         Ok(response) if response.http.status().is_server_error() => {
             ("error_status", Some(AttemptOutcome::ErrorStatus))
@@ -191,10 +190,15 @@
         };
         if let Some(started) = required_start {
             charge_request(&context.shared, &metadata.instance);
-            let check = check_process(&mut connection, &metadata.instance, started, CHECK_TIMEOUT);
-            match check.await {
+            let instance = &metadata.instance;
+            let question = LimitQuestion::new(&context.shared, instance);
+            let observe = |notices| record_notices(&context.shared, &question, notices);
+            let check =
+                check_process(&mut connection, instance, started, CHECK_TIMEOUT, observe).await;
+            match check {
                 ProcessCheck::Expected => {}
                 ProcessCheck::Other => return Err(AttemptError::NotProcessed("other_process")),
+                ProcessCheck::Refused => return Err(AttemptError::NotProcessed("backend_refused")),
                 ProcessCheck::Unusable if unusable_count < MAX_UNUSABLE => {
                     unusable_count += 1;
                     continue;
@@ -251,17 +255,14 @@
         return Err(AttemptError::Unsure("answer_to_another"));
     }
     record_stated_limit(&context.shared, question, metadata.server_limit);
-    record_notice(&context.shared, question, metadata.leaving);
-    if let Some(rest) = metadata.rest {
-        record_rest(&context.shared, question, rest);
-    }
+    record_notices(&context.shared, question, metadata.notices);
     if metadata.not_processed {
         let response = OpenResponse {
             http: Response::from_parts(head, body),
             metadata,
             connection,
         };
-        let is_rest = response.metadata.rest.is_some();
+        let is_rest = response.metadata.notices.rest.is_some();
         release_after_refusal(context, response);
         return Err(AttemptError::NotProcessed(match status.as_u16() {
             _ if is_rest => RESTING,
--- a/crates/gateway/src/server_process.rs
+++ b/crates/gateway/src/server_process.rs
@@ -14,7 +14,12 @@
     InstanceId, //
 };
 
-use crate::shared::GatewayState;
+use crate::server_limits::LimitQuestion;
+use crate::server_notices::record_notices;
+use crate::shared::{
+    GatewayShared,
+    GatewayState, //
+};
 
 /// What the answer to a probe shows about a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,10 +54,14 @@
     /// Asks a backend server for its state, and returns the answer.
     pub(crate) async fn probe(
         &self,
+        shared: &GatewayShared,
         instance: &InstanceId,
         timeout: Duration,
     ) -> Result<ProbeAnswer, PlatformError> {
-        probe_server(self.address, instance, self.health_path.as_deref(), timeout).await
+        let question = LimitQuestion::new(shared, instance);
+        let observe = |notices| record_notices(shared, &question, notices);
+        let health_path = self.health_path.as_deref();
+        probe_server(self.address, instance, health_path, timeout, observe).await
     }
 }
 
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -33,6 +33,8 @@
     ServiceName, //
 };
 
+use crate::server_limits::LimitQuestion;
+use crate::server_notices::record_notices;
 use crate::shared::{
     GatewayShared,
     GatewayState, //
@@ -131,7 +133,9 @@
 async fn send_and_log_order(shared: &GatewayShared, planned_order: PlannedOrder) {
     let outcome = match send_conditional_order(shared, &planned_order).await {
         Ok(Some(status)) => status.to_string(),
-        Ok(None) => "planner lease ended before the order was sent".to_owned(),
+        Ok(None) => {
+            "planner lease ended, or the engine rests, before the order was sent".to_owned()
+        }
         Err(error) => error.to_string(),
     };
     let change = &planned_order.change;
@@ -149,14 +153,20 @@
 
 /// Sends an order on condition that the engine has accepted no other order since its report, so that
 /// a delayed order has no effect after a later one. Returns the status of the engine's response, or
-/// `None` if the planner lease ended before the order was sent.
+/// `None` if the planner lease ended or the engine asked for a rest before the order was sent.
 async fn send_conditional_order(
     shared: &GatewayShared,
     planned_order: &PlannedOrder,
 ) -> Result<Option<u16>, PlatformError> {
     let instance = &planned_order.change.instance;
     charge_request(shared, instance);
-    let report = fetch_engine_report(planned_order.address, instance, ORDER_TIMEOUT).await?;
+    let address = planned_order.address;
+    let question = LimitQuestion::new(shared, instance);
+    let observe = |notices| record_notices(shared, &question, notices);
+    let report = fetch_engine_report(address, instance, ORDER_TIMEOUT, observe).await?;
+    if shared.lock().fleet.is_resting(Instant::now(), instance) {
+        return Ok(None);
+    }
     let order = StageOrder {
         instance: instance.clone(),
         stage: planned_order.change.stage,
@@ -169,7 +179,9 @@
         return Ok(None);
     }
     charge_request(shared, instance);
-    let result = send_stage_order(planned_order.address, &order, ORDER_TIMEOUT).await;
+    let question = LimitQuestion::new(shared, instance);
+    let observe = |notices| record_notices(shared, &question, notices);
+    let result = send_stage_order(address, &order, ORDER_TIMEOUT, observe).await;
     let label = result.as_ref().map_or("lost", |status| match status {
         200 | 202 => "accepted",
         _ => "refused",
--- a/crates/gateway/src/unframed_end.rs
+++ b/crates/gateway/src/unframed_end.rs
@@ -91,7 +91,7 @@
 }
 
 /// Finds out whether a process still runs. Returns `None` if it does not answer in time, as a busy
-/// server may.
+/// server may, or if it rests.
 async fn probe_process(
     shared: &GatewayShared,
     instance: &InstanceId,
@@ -101,9 +101,12 @@
     let Some(target) = target else {
         return Some(ProcessState::Ended);
     };
+    if shared.lock().fleet.is_resting(Instant::now(), instance) {
+        return None;
+    }
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["probe"]).inc();
     charge_request(shared, instance);
-    let answer = target.probe(instance, PROBE_TIMEOUT).await.ok()?;
+    let answer = target.probe(shared, instance, PROBE_TIMEOUT).await.ok()?;
     Some(process_state(answer, incarnation))
 }
