gateway, policy: rejected prefills count against the retry budget

The first decode attempt was never charged, though two rejected prefills before it are arrivals: each prompt that two prefill engines turn away cost a retry that was not counted. Engines that ask for rests made this common; ordinary refusals do the same.

An attempt is charged if more arrivals than charges came before it, as the platform counts them: all but the first accepted prefill. A repeated prefill is charged with the decode attempt after it, so that it does not use up what that needs; the first decode attempt is made even without budget, and counted.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -126,7 +126,7 @@
         if let Err(AttemptError::Quarantined(remaining)) = check_suspect(context) {
             return Err(history.quarantine_error(remaining));
         }
-        if !history.is_first_attempt() && !context.shared.try_spend_retry(&context.service) {
+        if !context.charge_decode(history) {
             return Err(history.final_error("repeats_spent"));
         }
         history.sending_to = Some(instance.clone());
@@ -142,6 +142,7 @@
         history.sending_to = None;
         let error = match result {
             Ok(stream) => {
+                history.counted += 1;
                 history.maybe_processed += 1;
                 history.excluded.insert(instance);
                 return Ok(stream);
@@ -193,6 +194,7 @@
     error: &AttemptError,
     elapsed: Duration,
 ) -> Result<(), RequestError> {
+    history.counted += u32::from(*error != AttemptError::Unreachable);
     match error {
         AttemptError::Unreachable => history.record_unreachable(elapsed),
         AttemptError::NotProcessed(_) => history.refused += 1,
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -50,7 +50,7 @@
     {
         let engine = select_prefill(context, history)?;
         check_suspect(context).ok()?;
-        if history.prefill_attempts > 0 && !context.shared.try_spend_retry(&context.service) {
+        if !context.charge_prefill(history) {
             return None;
         }
         let instance = engine.selection.instance.clone();
@@ -58,13 +58,18 @@
         history.prefill_attempts += 1;
         let started = Instant::now();
         match send_prefill(context, engine).await {
-            Ok(kv_cache) => return Some(kv_cache),
+            Ok(kv_cache) => {
+                history.record_prefill(true);
+                return Some(kv_cache);
+            }
             Err(AttemptError::DeadlineExceeded | AttemptError::Quarantined(_)) => return None,
             Err(error) => {
                 // The limit of prefill attempts covers only those that reached an engine.
                 history.prefill_attempts -= u32::from(error == AttemptError::Unreachable);
                 if error == AttemptError::Unreachable {
                     history.record_unreachable(started.elapsed());
+                } else {
+                    history.record_prefill(false);
                 }
                 history.excluded.insert(instance.clone());
                 context.log_retry(&instance, error.as_str());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -219,6 +219,43 @@
         self.rule.kind.is_retryable() && history.maybe_processed < self.rule.max_attempts
     }
 
+    /// Charges the next attempt to the retry budget if it is a retry. Returns false if the budget is
+    /// exhausted.
+    fn charge_attempt(&self, history: &mut AttemptHistory) -> bool {
+        if !history.needs_charge() {
+            return true;
+        }
+        let is_charged = self.shared.try_spend_retry(&self.service);
+        history.charged += u32::from(is_charged);
+        is_charged
+    }
+
+    /// Charges a decode attempt in the same way. The first one is made even if the budget is exhausted:
+    /// no caller is refused since its prompt was rejected.
+    pub(crate) fn charge_decode(&self, history: &mut AttemptHistory) -> bool {
+        if self.charge_attempt(history) {
+            return true;
+        }
+        if !history.is_first_attempt() {
+            return false;
+        }
+        self.shared.record_retry(&self.service);
+        history.charged += 1;
+        true
+    }
+
+    /// Charges a prefill-only attempt in the same way, together with the decode attempt that follows it if
+    /// it is rejected. Otherwise a repeated prefill could use up what the decode attempt needs.
+    pub(crate) fn charge_prefill(&self, history: &mut AttemptHistory) -> bool {
+        if !history.needs_charge() {
+            return true;
+        }
+        let is_charged = self.charge_attempt(history);
+        let is_reserved = is_charged && self.shared.try_spend_retry(&self.service);
+        history.charged += u32::from(is_reserved);
+        is_reserved
+    }
+
     /// Logs why an attempt failed, before it is retried or given up.
     pub(crate) fn log_retry(&self, instance: &InstanceId, reason: &str) {
         let record = self
@@ -328,6 +365,13 @@
     pub(crate) unreachable: u32,
     /// Time spent on these.
     pub(crate) unreachable_time: Duration,
+    /// Attempts that count against the retry budget: all that reached a backend server, but the first
+    /// prefill-only one that was accepted.
+    pub(crate) counted: u32,
+    /// Retries that were charged to the retry budget.
+    pub(crate) charged: u32,
+    /// Prefill-only attempts that were accepted.
+    pub(crate) accepted_prefills: u32,
     /// Prefill-only attempts that reached an engine.
     pub(crate) prefill_attempts: u32,
     /// Backend servers that are not selected again.
@@ -342,6 +386,7 @@
     /// Counts an attempt that was given up while it was being sent, which may have been processed.
     pub(crate) fn record_given_up(&mut self) {
         if let Some(instance) = self.sending_to.take() {
+            self.counted += 1;
             self.maybe_processed += 1;
             self.excluded.insert(instance);
         }
@@ -357,6 +402,18 @@
         is_first
     }
 
+    /// Returns whether the next attempt has to be charged to the retry budget.
+    pub(crate) fn needs_charge(&self) -> bool {
+        self.counted > self.charged
+    }
+
+    /// Counts a prefill-only attempt that reached an engine.
+    pub(crate) fn record_prefill(&mut self, is_accepted: bool) {
+        let is_first_accepted = is_accepted && self.accepted_prefills == 0;
+        self.accepted_prefills += u32::from(is_accepted);
+        self.counted += u32::from(!is_first_accepted);
+    }
+
     /// Counts an attempt that did not reach its backend server.
     pub(crate) fn record_unreachable(&mut self, elapsed: Duration) {
         self.unreachable += 1;
@@ -374,9 +431,8 @@
         self.refused >= MAX_REFUSALS || self.has_been_unreachable()
     }
 
-    /// Returns whether no attempt has reached a backend server, prefill-only attempts aside. The
-    /// next attempt is then not charged to the retry budget.
-    pub(crate) fn is_first_attempt(&self) -> bool {
+    /// Returns whether no attempt has reached a backend server, prefill-only attempts aside.
+    fn is_first_attempt(&self) -> bool {
         self.maybe_processed + self.refused == 0
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -268,6 +268,15 @@
         budget.record_request(now);
     }
 
+    /// Counts a retry that is sent whether the budget allows it or not.
+    pub(crate) fn record_retry(&self, service: &ServiceName) {
+        let mut state = self.lock();
+        if let Some(budget) = state.retry_budgets.get_mut(service) {
+            budget.record_retry(Instant::now());
+        }
+        self.metrics.retries.inc();
+    }
+
     /// Counts a retry and returns true, or returns false if the service's retry budget is exhausted.
     pub(crate) fn try_spend_retry(&self, service: &ServiceName) -> bool {
         let mut state = self.lock();
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -85,6 +85,11 @@
         true
     }
 
+    /// Counts a retry that is sent whether the budget allows it or not. Later ones make up for it.
+    pub fn record_retry(&mut self, now: Instant) {
+        self.current_slice(now).retries += 1;
+    }
+
     fn current_slice(&mut self, now: Instant) -> &mut CountSlice {
         let slice_length = self.limits.window / SLICES_PER_WINDOW;
         let is_current = self
