gateway, policy: the first decode attempt may overdraw the retry budget by one

Without any such rule a gateway that has just started refuses a caller whose prompt was rejected once (prefill_failure_falls_back failed).

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -230,18 +230,16 @@
         is_charged
     }
 
-    /// Charges a decode attempt in the same way. The first one is made even if the budget is exhausted:
-    /// no caller is refused since its prompt was rejected.
+    /// Charges a decode attempt in the same way. The first one may overdraw the budget, since a gateway
+    /// without budget, as after its start, would refuse a caller whose prompt was rejected once.
     pub(crate) fn charge_decode(&self, history: &mut AttemptHistory) -> bool {
         if self.charge_attempt(history) {
             return true;
         }
-        if !history.is_first_attempt() {
-            return false;
-        }
-        self.shared.record_retry(&self.service);
-        history.charged += 1;
-        true
+        let is_charged =
+            history.is_first_attempt() && self.shared.try_overdraw_retry(&self.service);
+        history.charged += u32::from(is_charged);
+        is_charged
     }
 
     /// Charges a prefill-only attempt in the same way, together with the decode attempt that follows it if
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -268,21 +268,25 @@
         budget.record_request(now);
     }
 
-    /// Counts a retry that is sent whether the budget allows it or not.
-    pub(crate) fn record_retry(&self, service: &ServiceName) {
-        let mut state = self.lock();
-        if let Some(budget) = state.retry_budgets.get_mut(service) {
-            budget.record_retry(Instant::now());
-        }
-        self.metrics.retries.inc();
-    }
-
     /// Counts a retry and returns true, or returns false if the service's retry budget is exhausted.
     pub(crate) fn try_spend_retry(&self, service: &ServiceName) -> bool {
+        self.spend_retry(service, RetryBudget::try_spend)
+    }
+
+    /// Counts a retry in the same way, but lets one more than the budget allows.
+    pub(crate) fn try_overdraw_retry(&self, service: &ServiceName) -> bool {
+        self.spend_retry(service, RetryBudget::try_overdraw)
+    }
+
+    fn spend_retry(
+        &self,
+        service: &ServiceName,
+        spend: fn(&mut RetryBudget, Instant, usize) -> bool,
+    ) -> bool {
         let mut state = self.lock();
         let gateways = state.members.len();
         let budget = state.retry_budgets.get_mut(service);
-        let has_spent = budget.is_some_and(|budget| budget.try_spend(Instant::now(), gateways));
+        let has_spent = budget.is_some_and(|budget| spend(budget, Instant::now(), gateways));
         if has_spent {
             self.metrics.retries.inc();
         }
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -13,6 +13,9 @@
 /// Number of slices that a window is counted in. A slice expires as a whole.
 const SLICES_PER_WINDOW: u32 = 20;
 
+/// Retries beyond the budget that one gateway may owe.
+const OVERDRAFT: f64 = 1.0;
+
 /// Limits that the platform sets on the retries to one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
@@ -66,6 +69,16 @@
     /// instance may have spent this gateway's share in the same window. If `gateways` is zero, the
     /// other gateways are unknown and none of the allowance is spent.
     pub fn try_spend(&mut self, now: Instant, gateways: usize) -> bool {
+        self.try_spend_with(now, gateways, 0.0)
+    }
+
+    /// Counts a retry in the same way, but lets one more than the budget allows. Later ones make up for
+    /// it.
+    pub fn try_overdraw(&mut self, now: Instant, gateways: usize) -> bool {
+        self.try_spend_with(now, gateways, OVERDRAFT)
+    }
+
+    fn try_spend_with(&mut self, now: Instant, gateways: usize, overdraft: f64) -> bool {
         self.drop_expired(now);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
@@ -78,18 +91,13 @@
         };
         let allowed =
             f64::from(requests) * self.limits.ratio * RATIO_SAFETY_FACTOR + allowance_share;
-        if f64::from(retries) + 1.0 > allowed {
+        if f64::from(retries) + 1.0 > allowed + overdraft {
             return false;
         }
         self.current_slice(now).retries += 1;
         true
     }
 
-    /// Counts a retry that is sent whether the budget allows it or not. Later ones make up for it.
-    pub fn record_retry(&mut self, now: Instant) {
-        self.current_slice(now).retries += 1;
-    }
-
     fn current_slice(&mut self, now: Instant) -> &mut CountSlice {
         let slice_length = self.limits.window / SLICES_PER_WINDOW;
         let is_current = self
--- a/crates/policy/tests/retries.rs
+++ b/crates/policy/tests/retries.rs
@@ -34,6 +34,20 @@
     assert!((10..=20).contains(&spent), "{spent} of at most 20");
 }
 
+/// Guards against a gateway without budget that refuses a caller whose prompt was rejected once, and
+/// against one that owes more than one retry.
+#[test]
+fn try_overdraw_once() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(now, LIMITS);
+    assert!(!budget.try_spend(now, 4));
+    assert!(budget.try_overdraw(now, 4));
+    assert!(!budget.try_overdraw(now, 4));
+    assert!(!budget.try_spend(now, 4));
+    let later = now + LIMITS.window * 2;
+    assert!(budget.try_spend(later, 4));
+}
+
 #[test]
 fn try_spend_allowance_share() {
     let start = Instant::now();
