policy, gateway: one lookup of a server's process, and one derivation of a rest's end

The check that an entry is that of the process which an answer or a peer's message is about stood in four places (limits, tokens, leaving, rests), and next_rest_end asked for the state of a rest that unavailability had just derived. Now BackendFleet::process_mut serves the four, and Unavailability::Resting holds the end. Behaviour stays as it is.

--- a/crates/gateway/src/leaving_servers.rs
+++ b/crates/gateway/src/leaving_servers.rs
@@ -41,8 +41,7 @@
     source: &str,
 ) {
     let mut state = shared.lock();
-    let view = state.fleet.get_mut(server);
-    let view = view.filter(|view| view.record.started_unix_ms == started_unix_ms);
+    let view = state.fleet.process_mut(server, started_unix_ms);
     if !view.is_some_and(|view| view.record_leaving()) {
         return;
     }
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -102,12 +102,9 @@
     observation: LimitObservation,
     source: &str,
 ) {
-    let Some(view) = state.fleet.get_mut(server) else {
+    let Some(view) = state.fleet.process_mut(server, started_unix_ms) else {
         return;
     };
-    if view.record.started_unix_ms != started_unix_ms {
-        return;
-    }
     let Some(change) = view.limit.observe(observation) else {
         return;
     };
--- a/crates/gateway/src/server_rests.rs
+++ b/crates/gateway/src/server_rests.rs
@@ -15,9 +15,8 @@
 pub(crate) fn record_rest(shared: &GatewayShared, question: &LimitQuestion, rest: Duration) {
     let now = Instant::now();
     let mut state = shared.lock();
-    let view = state.fleet.get_mut(&question.instance);
     let started = question.started_unix_ms;
-    let Some(view) = view.filter(|view| view.record.started_unix_ms == started) else {
+    let Some(view) = state.fleet.process_mut(&question.instance, started) else {
         return;
     };
     let requests = view.own_load.requests;
--- a/crates/gateway/src/token_exchange.rs
+++ b/crates/gateway/src/token_exchange.rs
@@ -275,6 +275,6 @@
     server: &str,
     started_unix_ms: Option<u64>,
 ) -> Option<&'a mut BackendView> {
-    let view = state.fleet.get_mut(&server.parse().ok()?)?;
-    (view.record.started_unix_ms == started_unix_ms).then_some(view)
+    let server = server.parse().ok()?;
+    state.fleet.process_mut(&server, started_unix_ms)
 }
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -12,8 +12,8 @@
     Draining,
     /// Its process has said in an answer that it leaves.
     Leaving,
-    /// Its process has turned this gateway away for some time.
-    Resting,
+    /// Its process has turned this gateway away until then.
+    Resting(Instant),
     /// Its process has rested, and has as many requests as it may have so soon after.
     Starting,
     /// There is no token for its limit.
@@ -26,7 +26,7 @@
         match self {
             Self::Draining => "draining",
             Self::Leaving => "leaving",
-            Self::Resting => "resting",
+            Self::Resting(_) => "resting",
             Self::Starting => "starting",
             Self::WithoutToken => "without_token",
         }
@@ -46,7 +46,7 @@
             return Some(Unavailability::Leaving);
         }
         match self.rest.state(now, self.own_load.requests) {
-            RestState::Resting(_) => Some(Unavailability::Resting),
+            RestState::Resting(until) => Some(Unavailability::Resting(until)),
             RestState::Starting => Some(Unavailability::Starting),
             RestState::Awake if !self.limit.has_token(now) => Some(Unavailability::WithoutToken),
             RestState::Awake => None,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -14,7 +14,6 @@
     BackendRecord,
     EngineStage,
     PromptLayout,
-    RestState,
     ServerFilter,
     ServerLimit,
     ServerRest,
@@ -287,6 +286,17 @@
         self.views.get_mut(instance)
     }
 
+    /// Returns a mutable reference to a backend server if its entry is that of the process with a start
+    /// time, in milliseconds since the Unix epoch.
+    pub fn process_mut(
+        &mut self,
+        instance: &InstanceId,
+        started_unix_ms: Option<u64>,
+    ) -> Option<&mut BackendView> {
+        let view = self.views.get_mut(instance);
+        view.filter(|view| view.record.started_unix_ms == started_unix_ms)
+    }
+
     /// Returns an iterator over all backend servers.
     pub fn views(&self) -> impl Iterator<Item = &BackendView> {
         self.views.values()
@@ -297,8 +307,8 @@
         self.views.values_mut()
     }
 
-    /// Returns the backend servers that fit and accept new requests now. Those without a token for their limit do not. Paused and unresponsive ones are included only if there are no
-    /// others.
+    /// Returns the backend servers that fit and accept new requests now. Those without a token for their
+    /// limit do not. Paused and unresponsive ones are included only if there are no others.
     pub fn usable<'a>(&'a self, now: Instant, filter: ServerFilter<'_>) -> Vec<&'a BackendView> {
         let fits =
             |view: &&BackendView| filter.admits(&view.record) && view.unavailability(now).is_none();
@@ -335,10 +345,7 @@
             .values()
             .filter(|view| filter.admits(&view.record));
         let ends = fitting.filter_map(|view| match view.unavailability(now)? {
-            Unavailability::Resting => match view.rest.state(now, view.own_load.requests) {
-                RestState::Resting(until) => Some(until),
-                RestState::Starting | RestState::Awake => None,
-            },
+            Unavailability::Resting(until) => Some(until),
             Unavailability::Starting => Some(now + START_INTERVAL),
             Unavailability::Draining | Unavailability::Leaving | Unavailability::WithoutToken => {
                 None
@@ -360,7 +367,9 @@
     /// Returns whether a backend server wants nothing from this gateway now.
     pub fn is_resting(&self, now: Instant, instance: &InstanceId) -> bool {
         let view = self.views.get(instance);
-        view.is_some_and(|view| view.unavailability(now) == Some(Unavailability::Resting))
+        view.is_some_and(|view| {
+            matches!(view.unavailability(now), Some(Unavailability::Resting(_)))
+        })
     }
 
     /// Records the outcome of an attempt. Returns true if the outcome pauses the backend server.
