--- a/review/standins/standins.py
+++ b/review/standins.py
@@ -16,7 +16,7 @@
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "shop.example"
 
