--- a/crates/gateway/src/versions/origin_lookup.rs
+++ b/crates/gateway/src/versions/origin_lookup.rs
@@ -24,12 +24,8 @@
 };
 use wire::StreamQuestion;
 
-use crate::request::{
-    AttemptHistory,
-    RequestContext, //
-};
+use crate::request::RequestContext;
 use crate::shared::GatewayShared;
-use crate::streams::generation::has_other_engine;
 use crate::versions::origin_messages::{
     ask_gateways,
     tell_gateways, //
@@ -47,8 +43,11 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which the store is asked.
 const STORE_TIME: Duration = Duration::from_millis(800);
-/// Time for which the first event of a stream waits until the store has its record.
+/// Time for which the first event of a stream waits until the store has its record, without which the
+/// stream would be taken for one of the base.
 const RECORD_TIME: Duration = Duration::from_millis(1_000);
+/// Time for which it waits where a stream without a record is taken for none of any version.
+const OPTIONAL_RECORD_TIME: Duration = Duration::from_millis(100);
 /// Time for which the entries of a version are awaited that another gateway knows.
 const ENTRY_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks for these entries.
@@ -136,46 +135,40 @@
         return true;
     }
     let key = stream_key(&context.service, &name);
-    if record_origin(context, key, version) != RecordNeed::Stored {
-        return true;
-    }
+    let need = record_origin(context, key, version);
+    let wait = match need {
+        RecordNeed::None => return true,
+        RecordNeed::Told if !takes_records(&context.shared) => Duration::ZERO,
+        RecordNeed::Told => OPTIONAL_RECORD_TIME,
+        RecordNeed::Stored => RECORD_TIME,
+    };
     let origins = &context.shared.origins;
-    let until = context.deadline.min(Instant::now() + RECORD_TIME);
+    let until = context.deadline.min(Instant::now() + wait);
     let recording = origins.await_record(&context.service, key, version, until);
-    if recording.await {
-        return true;
-    }
-    // Without engines of the base, nobody goes on with a stream that is taken for one of the base.
-    base_rule(context).is_some_and(|rule| !has_engine(context, rule))
-}
-
-/// Returns whether an engine that fits a rule may take the request.
-fn has_engine(context: &RequestContext, version: VersionRule) -> bool {
-    let history = AttemptHistory {
-        version,
-        ..AttemptHistory::default()
-    };
-    has_other_engine(context, &history)
+    recording.await || need == RecordNeed::Told
 }
 
-/// Returns the rule for the streams of a service that need no records, if there is a base.
-fn base_rule(context: &RequestContext) -> Option<VersionRule> {
-    let tables = context.shared.origins.lock();
-    match &tables.saved.get(&context.service)?.list.base {
-        BaseVersion::Decided(base) => Some(VersionRule::begun_by(base.as_ref())),
-        BaseVersion::Undecided => None,
-    }
+/// Returns whether the store takes records, as far as known.
+fn takes_records(shared: &GatewayShared) -> bool {
+    shared.origins.is_writable() && !shared.lock().store_health.is_down()
 }
 
 /// Returns the versions at which a new stream may begin. While the store takes no records, that is only
-/// the version which needs none, as long as it has engines.
+/// the version which needs none, whether or not it has room: its engines may be free again when callers
+/// take up streams that are without a record.
 fn begin_rule(context: &RequestContext) -> VersionRule {
-    let shared = &context.shared;
-    if shared.origins.is_writable() && !shared.lock().store_health.is_down() {
+    if !has_records(context) || takes_records(&context.shared) {
         return VersionRule::Any;
     }
-    let base = base_rule(context).filter(|rule| has_engine(context, rule.clone()));
-    base.unwrap_or_default()
+    let tables = context.shared.origins.lock();
+    let Some(saved) = tables.saved.get(&context.service) else {
+        return VersionRule::Any;
+    };
+    match &saved.list.base {
+        BaseVersion::Undecided => VersionRule::Any,
+        BaseVersion::Decided(None) if saved.list.is_single() => VersionRule::Any,
+        BaseVersion::Decided(base) => VersionRule::begun_by(base.as_ref()),
+    }
 }
 
 fn record_origin(
--- a/crates/gateway/src/versions/origin_state.rs
+++ b/crates/gateway/src/versions/origin_state.rs
@@ -79,7 +79,8 @@
 pub(crate) enum RecordNeed {
     /// Nothing: a stream without a record is one of its version.
     None,
-    /// Others are told of the stream, as well as that is possible.
+    /// Others are told. The record is awaited for a moment only, since nothing is concluded from a stream
+    /// without one.
     Told,
     /// Others are told, and the record is in the store.
     Stored,
@@ -115,7 +116,10 @@
     ) -> RecordNeed {
         match self.saved.get(service).map(|saved| &saved.list) {
             Some(list) if !list.needs_record(version) => RecordNeed::None,
-            Some(list) if list.base == BaseVersion::Undecided => RecordNeed::Told,
+            // A base is decided only among listed versions, so that others have to be listed first.
+            Some(list) if list.base == BaseVersion::Undecided && list.lists(version) => {
+                RecordNeed::Told
+            }
             // The first list decides the base, so that no stream begins before it without a record.
             Some(_) | None => RecordNeed::Stored,
         }
@@ -287,7 +291,7 @@
                 tables.unsaved.pop_first();
             }
             tables.unsaved.insert(key);
-            if need == RecordNeed::Stored && !is_stored {
+            if !is_stored {
                 tables.awaited.insert(key);
             }
             self.unsaved_news.notify_one();
@@ -310,9 +314,8 @@
             saved.as_mut().enable();
             {
                 let tables = self.lock();
-                let listed = tables.saved.get(service);
-                let is_listed =
-                    listed.is_some_and(|saved| saved.list.versions.contains(&version.cloned()));
+                let saved = tables.saved.get(service);
+                let is_listed = saved.is_some_and(|saved| saved.list.lists(version));
                 if is_listed && !tables.awaited.contains(&key) {
                     return true;
                 }
--- a/crates/policy/src/version_list.rs
+++ b/crates/policy/src/version_list.rs
@@ -30,6 +30,9 @@
 /// A gateway hands on the first event of a stream of another version than the base only after the
 /// store has acknowledged the stream's record and lists its version. A gateway that reads list and
 /// records after a caller has come back to a stream therefore knows its version.
+///
+/// Without a base, a stream that has no record belongs to no known version. A base whose engines are gone
+/// is given up for that reason: streams of other versions then begin also while the store takes no records.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VersionList {
     /// Versions that may have begun a stream which a caller takes up.
@@ -61,6 +64,11 @@
         !self.base.is(version)
     }
 
+    /// Returns whether a version is listed.
+    pub fn lists(&self, version: Option<&SoftwareVersion>) -> bool {
+        self.versions.contains(&version.cloned())
+    }
+
     /// Returns whether all streams belong to the base.
     pub fn is_single(&self) -> bool {
         match &self.base {
@@ -90,14 +98,11 @@
         let base = match &saved.base {
             _ if saved.era != view.era => BaseVersion::Undecided,
             BaseVersion::Undecided => decide(&versions, view.has_settled),
-            BaseVersion::Decided(base) if versions.contains(base) => saved.base.clone(),
-            BaseVersion::Decided(base) => match decide(&versions, true) {
-                BaseVersion::Undecided => {
-                    versions.insert(base.clone());
-                    saved.base.clone()
-                }
-                decided => decided,
-            },
+            BaseVersion::Decided(base) if !is_gone(base, view) => {
+                versions.insert(base.clone());
+                saved.base.clone()
+            }
+            BaseVersion::Decided(_) => BaseVersion::Undecided,
         };
         let next = Self {
             versions,
@@ -108,6 +113,11 @@
     }
 }
 
+/// Returns whether a version has no engines while others do.
+fn is_gone(version: &Option<SoftwareVersion>, view: &VersionView) -> bool {
+    !view.present.is_empty() && !view.present.contains(version)
+}
+
 /// Returns the only version as the base if it may be decided now.
 fn decide(versions: &KnownVersions, may_decide: bool) -> BaseVersion {
     let mut candidates = versions.iter();
--- a/crates/policy/tests/version_lists.rs
+++ b/crates/policy/tests/version_lists.rs
@@ -71,22 +71,58 @@
     assert!(next.needs_record("v2".parse().ok().as_ref()));
 }
 
-/// Guards against a base that moves on while callers may still take up streams of the old one.
+/// Guards against a base that moves on while callers may still take up streams of the old one, and against
+/// one that stays without engines, so that nothing begins while the store takes no records.
 #[test]
 fn next_base_leaves() {
     let mixed = list(&["v1", "v2"], decided("v1"));
     let gone = view(&["v2"], &["v1", "v2"]);
-    assert_eq!(VersionList::next(Some(&mixed), &gone), None);
-    let forgotten = VersionList::next(Some(&mixed), &view(&["v2"], &["v2"])).unwrap();
-    assert_eq!(forgotten, list(&["v2"], decided("v2")));
+    let given_up = VersionList::next(Some(&mixed), &gone).unwrap();
+    assert_eq!(given_up, list(&["v1", "v2"], BaseVersion::Undecided));
+    assert_eq!(VersionList::next(Some(&given_up), &gone), None);
+    let forgotten = VersionList::next(Some(&given_up), &view(&["v2"], &["v2"])).unwrap();
+    assert_eq!(forgotten, list(&["v2"], BaseVersion::Undecided));
+    let settled = VersionView {
+        has_settled: true,
+        ..view(&["v2"], &["v2"])
+    };
+    let decided_again = VersionList::next(Some(&forgotten), &settled).unwrap();
+    assert_eq!(decided_again, list(&["v2"], decided("v2")));
+}
+
+/// Guards against a base that is decided again when its engines return, though streams of other versions
+/// have begun without records meanwhile.
+#[test]
+fn next_base_comes_back() {
+    let given_up = list(&["v1", "v2"], BaseVersion::Undecided);
+    let back = VersionView {
+        has_settled: true,
+        ..view(&["v1", "v2"], &["v1", "v2"])
+    };
+    assert_eq!(VersionList::next(Some(&given_up), &back), None);
 }
 
 /// Guards against a base that is decided among two others.
 #[test]
 fn next_base_leaves_two_others() {
     let mixed = list(&["v1", "v2", "v3"], decided("v1"));
-    let others = view(&["v2", "v3"], &["v2", "v3"]);
-    assert_eq!(VersionList::next(Some(&mixed), &others), None);
+    let others = VersionView {
+        has_settled: true,
+        ..view(&["v2", "v3"], &["v2", "v3"])
+    };
+    let given_up = VersionList::next(Some(&mixed), &others).unwrap();
+    assert_eq!(given_up, list(&["v2", "v3"], BaseVersion::Undecided));
+    assert_eq!(VersionList::next(Some(&given_up), &others), None);
+}
+
+/// Guards against a base that is given up by a gateway which has read no entries yet.
+#[test]
+fn next_no_entries() {
+    let mixed = list(&["v1", "v2"], decided("v1"));
+    assert_eq!(
+        VersionList::next(Some(&mixed), &view(&[], &["v1", "v2"])),
+        None
+    );
 }
 
 /// Guards against a conclusion from records that the store's earlier copy does not hold.
