--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -24,7 +24,6 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{
-    Instant,
     sleep,
     timeout, //
 };
@@ -174,19 +173,19 @@
     }
 
     /// Shuts the gateway down gracefully. It reports that it is not ready, accepts connections until
-    /// the load balancer has noticed, and completes in-flight requests within the grace period.
+    /// the load balancer has noticed, and completes in-flight requests within the grace period. Those
+    /// that it cannot complete are told so.
     pub async fn stop(mut self) {
         let record = DecisionRecord::new(DecisionKind::Process, "stopping");
         self.shared.log.write(record);
-        self.shared.lock().draining_since = Some(Instant::now());
-        let grace = self.shared.lock().grace;
+        let grace = self.shared.start_drain();
         let notice_time = BALANCER_NOTICE_TIME.min(grace / 2);
         sleep(notice_time).await;
         self.server_stop.send_replace(true);
         let remaining = grace.saturating_sub(notice_time + SHUTDOWN_MARGIN);
         let all_answered = timeout(remaining, &mut self.server).await.is_ok();
         if !all_answered {
-            // The requests that are cut log their ends before the gateway exits.
+            // Only answers that have begun are cut. They log their ends before the gateway exits.
             self.server.abort();
             sleep(CUT_LOG_TIME).await;
         }
--- /dev/null
+++ b/crates/gateway/src/drain.rs
@@ -0,0 +1,133 @@
+//! Requests during the graceful shutdown: which are accepted, and when the others are told.
+
+use std::time::Duration;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use policy::{
+    AnswerEstimate,
+    AnswerSample,
+    DrainWindow,
+    EngineStage,
+    RouteRule, //
+};
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
+use units::ServiceName;
+
+use crate::request_error::RequestError;
+use crate::shared::{
+    GatewayShared,
+    GatewayState, //
+};
+
+/// Interval between checks whether a request has been sent to a backend server meanwhile.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Returns whether a request that arrives now is likely to be answered before the gateway ends.
+pub(crate) fn accepts_request(
+    shared: &GatewayShared,
+    rule: &RouteRule,
+    output_tokens: u32,
+) -> bool {
+    let Some(window) = *shared.drain.borrow() else {
+        return true;
+    };
+    let now = Instant::now();
+    let estimate = estimate_answer(&shared.lock(), now, rule, output_tokens);
+    window.accepts(now, &estimate)
+}
+
+/// Records how long a complete answer has taken, and how much of that time it took to make it.
+pub(crate) fn record_answer(shared: &GatewayShared, rule: &RouteRule, sample: AnswerSample) {
+    let mut state = shared.lock();
+    state
+        .answer_times
+        .record(Instant::now(), &rule.name, sample);
+}
+
+/// Waits until the gateway stops and a request has to be given up. Returns the error, which depends on
+/// whether a backend server may have run the request.
+pub(crate) async fn give_up(
+    shared: &GatewayShared,
+    id: &str,
+    rule: &RouteRule,
+    arrived: Instant,
+    may_have_run: impl Fn() -> bool,
+) -> RequestError {
+    let window = await_drain(shared).await;
+    loop {
+        let now = Instant::now();
+        let estimate = estimate_answer(&shared.lock(), now, rule, 0);
+        let has_run = may_have_run();
+        let at = window.give_up_at(arrived, has_run, &estimate);
+        if now < at {
+            sleep_until(at.min(now + CHECK_INTERVAL)).await;
+            continue;
+        }
+        let reason = "request given up, since the gateway ends before it can be answered";
+        let left = window.answer_by.saturating_duration_since(now);
+        let record = DecisionRecord::new(DecisionKind::Finish, reason)
+            .request(id)
+            .input("may_have_run", has_run)
+            .input("left_ms", left.as_millis() as u64)
+            .input("least_total_ms", estimate.least_total.as_millis() as u64)
+            .input("least_run_ms", estimate.least_run.as_millis() as u64);
+        shared.log.write(record);
+        return if has_run {
+            RequestError::Unsure("leaving")
+        } else {
+            RequestError::Draining
+        };
+    }
+}
+
+async fn await_drain(shared: &GatewayShared) -> DrainWindow {
+    let mut drains = shared.drain.subscribe();
+    match drains.wait_for(Option::is_some).await.map(|window| *window) {
+        Ok(Some(window)) => window,
+        // The sender lives as long as the gateway.
+        Ok(None) | Err(_) => std::future::pending().await,
+    }
+}
+
+/// Estimates how long an answer takes that begins now.
+fn estimate_answer(
+    state: &GatewayState,
+    now: Instant,
+    rule: &RouteRule,
+    output_tokens: u32,
+) -> AnswerEstimate {
+    let rounds = rounds_ahead(state, rule);
+    let unloaded = unloaded_time(state, rule, output_tokens);
+    state
+        .answer_times
+        .estimate(now, &rule.name, rounds, unloaded)
+}
+
+/// Returns the number of full sets of requests at the backend server of a route with the shortest queue.
+fn rounds_ahead(state: &GatewayState, rule: &RouteRule) -> u32 {
+    let serves = |service: &ServiceName| rule.shares.iter().any(|share| share.service == *service);
+    let views = state.fleet.views().filter(|view| {
+        let record = &view.record;
+        serves(&record.service) && !record.draining && record.stage != Some(EngineStage::Prefill)
+    });
+    let rounds = views.map(|view| view.total_load().requests / view.record.slots.max(1));
+    rounds.min().unwrap_or_default()
+}
+
+/// Returns the time of an answer on idle servers as far as it is known without recent ones.
+fn unloaded_time(state: &GatewayState, rule: &RouteRule, output_tokens: u32) -> Duration {
+    if !rule.kind.is_stream() {
+        return rule.target;
+    }
+    let service = rule.shares.first().map(|share| &share.service);
+    let speeds = service.and_then(|service| state.speeds.get(service));
+    let decode = speeds.map(|speeds| speeds.decode).unwrap_or_default();
+    let millis = decode.ms_per_token(1.0) * f64::from(output_tokens);
+    rule.target + Duration::from_millis(millis as u64)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod clock;
 mod daemon;
+mod drain;
 mod error;
 mod latency;
 mod load_exchange;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use logs::DecisionKind;
 use policy::{
+    AnswerSample,
     BackendLoad,
     BackendSelection,
     select_plain_server, //
@@ -18,6 +19,7 @@
     AttemptError,
     CompleteResponse, //
 };
+use crate::drain::record_answer;
 use crate::latency::ServerStage;
 use crate::request::{
     AttemptHistory,
@@ -92,7 +94,10 @@
                     .record_response_time(&instance, elapsed);
                 let latencies = &context.shared.metrics.latencies;
                 latencies.observe_stage(ServerStage::Plain, &instance, elapsed);
-                latencies.observe_answer(&context.rule, context.started.elapsed());
+                let total = context.started.elapsed();
+                latencies.observe_answer(&context.rule, total);
+                let run = elapsed;
+                record_answer(&context.shared, &context.rule, AnswerSample { total, run });
                 let is_success = response.http.status().is_success();
                 let is_framed = response.metadata.is_framed;
                 record_response_end(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
     BTreeMap,
     BTreeSet, //
 };
+use std::sync::atomic::AtomicBool;
 use std::sync::{
     Arc,
     Mutex, //
@@ -79,6 +80,8 @@
     pub(crate) suspects: Arc<[SuspectId]>,
     /// Numbers of crashes at which suspects are tried once more in spite of them.
     pub(crate) trial_crashes: Mutex<BTreeMap<SuspectId, usize>>,
+    /// Whether a backend server may have run the request.
+    pub(crate) may_have_run: AtomicBool,
     pub(crate) metadata: RequestMetadata,
     /// When the request arrived.
     pub(crate) started: Instant,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -87,6 +88,10 @@
     metadata: &AttemptMetadata,
     required_start: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
+    // A prompt that is only prefilled does not run.
+    let had_run = context
+        .may_have_run
+        .fetch_or(!metadata.prefill_only, Ordering::Relaxed);
     let starting = async {
         tokio::select! {
             result = start_without_timeout(context, address, metadata, required_start) => result,
@@ -95,6 +100,9 @@
     };
     let result = timeout_at(context.deadline, starting).await;
     let result = result.unwrap_or(Err(AttemptError::DeadlineExceeded));
+    if let Err(AttemptError::Unreachable | AttemptError::NotProcessed(_)) = result {
+        context.may_have_run.store(had_run, Ordering::Relaxed);
+    }
     if result.is_ok() {
         context.shared.record_liveness(&metadata.instance);
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,9 @@
 //! Accepts a request of a caller: finds its route, reads its body, sets its deadline and serves it.
 
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::sync::{
     Arc,
     Mutex, //
@@ -32,6 +36,10 @@
 };
 
 use crate::attempt::AttemptError;
+use crate::drain::{
+    accepts_request,
+    give_up, //
+};
 use crate::plain::serve_plain;
 use crate::request::RequestContext;
 use crate::request_error::{
@@ -118,12 +126,16 @@
     let rule = rule.ok_or(RequestError::NoRoute)?;
     let kind = rule.kind.as_str();
     shared.metrics.requests.with_label_values(&[kind]).inc();
-    if !shared.accepts_request(rule.kind, rule.timeout) {
+    if !accepts_request(shared, &rule, metadata.max_output_tokens.0) {
         return Err(RequestError::Draining);
     }
     let deadline = started + rule.timeout.min(metadata.timeout.unwrap_or(rule.timeout));
     let deadline = deadline - RESPONSE_MARGIN.min(deadline - started);
-    let body = read_request_body(body, &table, deadline).await?;
+    let id = String::from_utf8_lossy(&metadata.request_id).into_owned();
+    let body = tokio::select! {
+        body = read_request_body(body, &table, deadline) => body?,
+        error = give_up(shared, &id, &rule, started, || false) => return Err(error),
+    };
     let service = rule.choose_service(&metadata.request_id).clone();
     shared.credit_retry_budget(&service);
     let fingerprint = request_fingerprint(&head.method, head.uri.path(), &body);
@@ -142,6 +154,7 @@
         deadline,
         rule,
         trial_crashes: Mutex::default(),
+        may_have_run: AtomicBool::new(false),
     });
     if let Err(AttemptError::Quarantined(remaining)) = check_suspect(&context).await {
         return Err(RequestError::Quarantined(remaining));
@@ -153,9 +166,12 @@
             serve_plain(&context).await
         }
     };
-    match timeout_at(deadline, serving).await {
-        Ok(result) => result,
-        Err(_) => Err(RequestError::DeadlineExceeded),
+    let may_have_run = || context.may_have_run.load(Ordering::Relaxed);
+    tokio::select! {
+        result = timeout_at(deadline, serving) => {
+            result.unwrap_or(Err(RequestError::DeadlineExceeded))
+        }
+        error = give_up(shared, &id, &context.rule, started, may_have_run) => Err(error),
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,9 +14,10 @@
 use logs::LogSink;
 use platform::KeyStore;
 use policy::{
+    AnswerTimes,
     BackendFleet,
-    CallKind,
     DecodeSpeed,
+    DrainWindow,
     EngineCapacity,
     OfferedRate,
     OrderLease,
@@ -28,8 +29,7 @@
     ServerFilter,
     StoreHealth,
     SuspectLimits,
-    SuspectRegistry,
-    accepts_while_draining, //
+    SuspectRegistry, //
 };
 use tokio::net::UdpSocket;
 use tokio::sync::{
@@ -118,8 +118,8 @@
     pub(crate) retry_limits: RetryLimits,
     /// Grace period between SIGTERM and SIGKILL.
     pub(crate) grace: Duration,
-    /// Start of the graceful shutdown, or `None` while the gateway is not draining.
-    pub(crate) draining_since: Option<Instant>,
+    /// Times of the latest answers.
+    pub(crate) answer_times: AnswerTimes,
     /// Availability of the store.
     pub(crate) store_health: StoreHealth,
     /// Era of the store that this state belongs to.
@@ -162,6 +162,8 @@
     pub(crate) exchange_socket: OnceLock<Arc<UdpSocket>>,
     /// Era of the store, sent when it rises.
     pub(crate) eras: watch::Sender<Option<StoreEra>>,
+    /// Window of the graceful shutdown, or `None` while the gateway is not draining.
+    pub(crate) drain: watch::Sender<Option<DrainWindow>>,
     state: Mutex<GatewayState>,
     /// Idle connections to backend servers.
     pool: Mutex<ConnectionPool>,
@@ -191,7 +193,7 @@
                 token_state: TokenState::default(),
                 retry_limits: retry_limits(&settings),
                 grace: settings.grace_period(),
-                draining_since: None,
+                answer_times: AnswerTimes::default(),
                 order_lease: OrderLease::new(PLANNER_LEASE_TTL, settle_time),
                 store_health: StoreHealth::default(),
                 era: EraState::default(),
@@ -205,6 +207,7 @@
             origins: OriginState::default(),
             exchange_socket: OnceLock::new(),
             eras: watch::Sender::new(None),
+            drain: watch::Sender::new(None),
             pool: Mutex::new(ConnectionPool::default()),
             settings,
         }
@@ -220,17 +223,17 @@
         self.pool.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns whether a request that arrives now can be completed before the gateway exits.
-    pub(crate) fn accepts_request(&self, kind: CallKind, timeout: Duration) -> bool {
-        let state = self.lock();
-        let (since, grace) = (state.draining_since, state.grace);
-        let Some(since) = since else { return true };
-        accepts_while_draining(since.elapsed(), grace, kind, timeout)
+    /// Starts the graceful shutdown. Returns its grace period.
+    pub(crate) fn start_drain(&self) -> Duration {
+        let grace = self.lock().grace;
+        let window = DrainWindow::new(Instant::now(), grace);
+        self.drain.send_replace(Some(window));
+        grace
     }
 
     /// Returns whether the graceful shutdown has started.
     pub(crate) fn is_draining(&self) -> bool {
-        self.lock().draining_since.is_some()
+        self.drain.borrow().is_some()
     }
 
     /// Records a liveness signal of a backend server.
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use logs::DecisionKind;
-use policy::EventCursor;
+use policy::{
+    AnswerSample,
+    EventCursor, //
+};
 use tokio::time::{
     Instant,
     sleep_until, //
@@ -15,6 +18,7 @@
 };
 use web::BodySender;
 
+use crate::drain::record_answer;
 use crate::request::{
     AttemptHistory,
     RequestContext, //
@@ -73,6 +77,7 @@
             match self.forward_attempt(attempt).await {
                 StreamEnd::Complete => {
                     self.log_end("stream completed", false);
+                    self.record_answer_time();
                     return self.chunks.finish().await;
                 }
                 StreamEnd::Aborted => return self.log_end("caller disconnected", false),
@@ -209,6 +214,14 @@
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
     }
 
+    fn record_answer_time(&self) {
+        let total = self.context.started.elapsed();
+        let first = self.timing.first.unwrap_or_default();
+        let run = total.saturating_sub(first);
+        let sample = AnswerSample { total, run };
+        record_answer(&self.context.shared, &self.context.rule, sample);
+    }
+
     fn log_end(&self, reason: &str, failed: bool) {
         let (context, timing) = (&self.context, &self.timing);
         let elapsed = context.started.elapsed().as_millis() as u64;
--- /dev/null
+++ b/crates/policy/src/answer_times.rs
@@ -0,0 +1,98 @@
+//! Recent times until the ends of answers, by route.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+use std::time::Duration;
+
+use tokio::time::Instant;
+use units::RouteName;
+
+/// Number of answers of one route that are kept.
+const MAX_SAMPLES: usize = 64;
+/// Time for which an answer says something about later ones.
+const SAMPLE_LIFETIME: Duration = Duration::from_secs(30);
+/// Number of routes with answers. Those of others are not kept, as of routes that come and go.
+const MAX_ROUTES: usize = 1_024;
+
+/// Times of one answer.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerSample {
+    /// Time from the arrival of the request to the end of the answer.
+    pub total: Duration,
+    /// Part of that time in which the answer was made, as far as known: that from the first event of a
+    /// stream.
+    pub run: Duration,
+}
+
+/// How long an answer takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerEstimate {
+    /// Time from arrival to end that few answers exceed, with the queues of the servers as they are.
+    pub likely: Duration,
+    /// Time from arrival to end that most answers exceed.
+    pub least_total: Duration,
+    /// Time that most answers take to make.
+    pub least_run: Duration,
+}
+
+/// Times of the latest answers of each route.
+#[derive(Debug, Default)]
+pub struct AnswerTimes {
+    routes: BTreeMap<RouteName, VecDeque<(Instant, AnswerSample)>>,
+}
+
+impl AnswerTimes {
+    /// Records a complete answer.
+    pub fn record(&mut self, now: Instant, route: &RouteName, sample: AnswerSample) {
+        if !self.routes.contains_key(route) {
+            if self.routes.len() >= MAX_ROUTES {
+                self.routes
+                    .retain(|_, samples| samples.back().is_some_and(|last| is_recent(now, last)));
+            }
+            if self.routes.len() >= MAX_ROUTES {
+                return;
+            }
+        }
+        let samples = self.routes.entry(route.clone()).or_default();
+        if samples.len() >= MAX_SAMPLES {
+            samples.pop_front();
+        }
+        samples.push_back((now, sample));
+    }
+
+    /// Estimates the time of an answer to a request that has `rounds` full sets of requests ahead of it at
+    /// the server with the shortest queue. `unloaded` is the time of an answer while none is known.
+    pub fn estimate(
+        &self,
+        now: Instant,
+        route: &RouteName,
+        rounds: u32,
+        unloaded: Duration,
+    ) -> AnswerEstimate {
+        let samples = self.routes.get(route).into_iter().flatten();
+        let samples = samples.filter(|sample| is_recent(now, sample));
+        let (mut totals, mut runs): (Vec<Duration>, Vec<Duration>) = samples
+            .map(|(_, sample)| (sample.total, sample.run))
+            .unzip();
+        totals.sort_unstable();
+        runs.sort_unstable();
+        let run = quantile(&runs, 4, 1);
+        let queued = run.unwrap_or(unloaded).saturating_mul(rounds + 1);
+        AnswerEstimate {
+            likely: quantile(&totals, 10, 9).unwrap_or_default().max(queued),
+            least_total: quantile(&totals, 4, 1).unwrap_or_default(),
+            least_run: run.unwrap_or_default(),
+        }
+    }
+}
+
+fn is_recent(now: Instant, sample: &(Instant, AnswerSample)) -> bool {
+    now.saturating_duration_since(sample.0) < SAMPLE_LIFETIME
+}
+
+/// Returns the value below which `part` of `parts` of the sorted values lie.
+fn quantile(sorted: &[Duration], parts: usize, part: usize) -> Option<Duration> {
+    sorted.get(sorted.len() * part / parts).copied()
+}
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -4,28 +4,53 @@
 
 use tokio::time::Instant;
 
-use crate::CallKind;
+use crate::AnswerEstimate;
 
-/// Time for which a draining process accepts new streams. Later ones would not end before the
-/// process does.
-const STREAM_ACCEPT_DURATION: Duration = Duration::from_millis(2_700);
 /// Time before the end of the grace period by which answers must be complete.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Returns whether a process that began to drain `elapsed` ago still accepts a request.
-///
-/// `grace_period` is the time from the first termination signal to the end of the process, and
-/// `timeout` the maximum duration of the request.
-pub fn accepts_while_draining(
-    elapsed: Duration,
-    grace_period: Duration,
-    kind: CallKind,
-    timeout: Duration,
-) -> bool {
-    if kind.is_stream() {
-        return elapsed < STREAM_ACCEPT_DURATION.min(grace_period / 2);
+/// Time in which a draining process answers the requests that it has, and others that it can still answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainWindow {
+    /// When the drain started.
+    pub since: Instant,
+    /// When all answers have to be complete.
+    pub answer_by: Instant,
+}
+
+impl DrainWindow {
+    /// Returns the window of a drain that starts now and ends with the grace period.
+    pub fn new(now: Instant, grace_period: Duration) -> Self {
+        Self {
+            since: now,
+            answer_by: now + grace_period.saturating_sub(RESPONSE_MARGIN),
+        }
+    }
+
+    /// Returns whether a request that arrives now is likely to be answered in time.
+    pub fn accepts(&self, now: Instant, estimate: &AnswerEstimate) -> bool {
+        now + estimate.likely <= self.answer_by
+    }
+
+    /// Returns when a request without an answer is given up. One that no backend server may have run, as
+    /// soon as there is too little time left to run it. Another one at the end, or at the start of the drain
+    /// if nearly all answers would come too late for it.
+    pub fn give_up_at(
+        &self,
+        arrived: Instant,
+        may_have_run: bool,
+        estimate: &AnswerEstimate,
+    ) -> Instant {
+        if !may_have_run {
+            let time_left = self.answer_by.saturating_duration_since(self.since);
+            return self.since + time_left.saturating_sub(estimate.least_run);
+        }
+        if arrived + estimate.least_total > self.answer_by {
+            self.since
+        } else {
+            self.answer_by
+        }
     }
-    elapsed + timeout + RESPONSE_MARGIN < grace_period
 }
 
 /// Admits requests until the drain starts and counts those in flight.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! daemons, tests and simulations run the same code.
 
 mod answer;
+mod answer_times;
 mod availability;
 mod backend;
 mod backend_load;
@@ -63,6 +64,9 @@
 
 pub use answer::AnswerAssembler;
 pub use answer::ChunkVerdict;
+pub use answer_times::AnswerEstimate;
+pub use answer_times::AnswerSample;
+pub use answer_times::AnswerTimes;
 pub use availability::Unavailability;
 pub use backend::BackendRecord;
 pub use backend::EngineStage;
@@ -85,7 +89,7 @@
 pub use cost::CostModel;
 pub use decode_speed::DecodeSpeed;
 pub use drain::DrainGate;
-pub use drain::accepts_while_draining;
+pub use drain::DrainWindow;
 pub use event_cursor::EventCursor;
 pub use event_cursor::EventError;
 pub use fleet::BackendChange;
--- /dev/null
+++ b/crates/policy/tests/drains.rs
@@ -0,0 +1,141 @@
+//! Which requests a draining process accepts, and when it gives up those that it has.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use policy::{
+    AnswerEstimate,
+    AnswerSample,
+    AnswerTimes,
+    DrainWindow, //
+};
+use tokio::time::Instant;
+use units::RouteName;
+
+const GRACE: Duration = Duration::from_secs(8);
+/// Time of an answer on idle servers.
+const UNLOADED: Duration = Duration::from_millis(300);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn route() -> RouteName {
+    "question".parse().unwrap()
+}
+
+/// Records answers with the given times in milliseconds from arrival and from the first event to the end.
+fn answer_times(now: Instant, samples: &[(u64, u64)]) -> AnswerTimes {
+    let mut times = AnswerTimes::default();
+    for (total, run) in samples {
+        let sample = AnswerSample {
+            total: millis(*total),
+            run: millis(*run),
+        };
+        times.record(now, &route(), sample);
+    }
+    times
+}
+
+/// Guards against streams that are accepted although each waits in a full queue and ends after the process.
+#[test]
+fn accepts_queue_of_three_rounds() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, GRACE);
+    let estimate = answer_times(now, &[(9_600, 2_400); 20]).estimate(now, &route(), 3, UNLOADED);
+    assert_eq!(estimate.likely, millis(9_600));
+    assert!(!window.accepts(now, &estimate));
+}
+
+/// Guards against a queue that has grown since the latest answers.
+#[test]
+fn accepts_queue_grown_since() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, GRACE);
+    let times = answer_times(now, &[(2_500, 2_400); 20]);
+    assert!(window.accepts(now, &times.estimate(now, &route(), 0, UNLOADED)));
+    assert!(!window.accepts(now, &times.estimate(now, &route(), 3, UNLOADED)));
+}
+
+/// Guards against short requests that are refused for what their route allows, or for how long the process
+/// has drained.
+#[test]
+fn accepts_short_answers() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, GRACE);
+    let estimate = answer_times(now, &[(60, 60); 20]).estimate(now, &route(), 0, UNLOADED);
+    assert!(window.accepts(now + millis(7_000), &estimate));
+    assert!(!window.accepts(now + millis(7_460), &estimate));
+}
+
+/// Guards against a process without recent answers that accepts nothing, or everything.
+#[test]
+fn accepts_without_samples() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, GRACE);
+    let old = answer_times(now, &[(9_600, 9_600)]);
+    let now = now + Duration::from_secs(31);
+    let estimate = old.estimate(now, &route(), 1, UNLOADED);
+    assert_eq!(estimate.likely, 2 * UNLOADED);
+    assert_eq!(estimate.least_run, Duration::ZERO);
+    assert!(!window.accepts(now, &estimate), "the window has passed");
+}
+
+/// Guards against a request that waits in the gateway until there is no time left to run it.
+#[test]
+fn give_up_at_not_run() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, GRACE);
+    let estimate = answer_times(now, &[(3_000, 2_400); 8]).estimate(now, &route(), 0, UNLOADED);
+    let at = window.give_up_at(now - millis(200), false, &estimate);
+    assert_eq!(at, now + millis(7_500 - 2_400));
+}
+
+/// Guards against running requests that are given up for a pessimistic guess, and against those in a queue
+/// that are held to the end though they cannot be answered.
+#[test]
+fn give_up_at_may_have_run() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, GRACE);
+    let mixed = [
+        (500, 400),
+        (600, 400),
+        (9_000, 400),
+        (9_000, 400),
+        (9_000, 400),
+    ];
+    let estimate = answer_times(now, &mixed).estimate(now, &route(), 0, UNLOADED);
+    assert_eq!(window.give_up_at(now, true, &estimate), window.answer_by);
+    let estimate = answer_times(now, &[(9_600, 2_400); 20]).estimate(now, &route(), 3, UNLOADED);
+    assert_eq!(window.give_up_at(now - millis(500), true, &estimate), now);
+    let early = now - millis(3_000);
+    assert_eq!(window.give_up_at(early, true, &estimate), window.answer_by);
+}
+
+/// Guards against a table that grows with the routes that come and go.
+#[test]
+fn record_many_routes() {
+    let now = Instant::now();
+    let mut times = AnswerTimes::default();
+    let sample = AnswerSample {
+        total: millis(5_000),
+        run: millis(5_000),
+    };
+    for number in 0..3_000 {
+        let route: RouteName = format!("route-{number}").parse().unwrap();
+        times.record(now, &route, sample);
+    }
+    let estimate = |number: u32| {
+        let route: RouteName = format!("route-{number}").parse().unwrap();
+        times.estimate(now, &route, 0, UNLOADED)
+    };
+    assert_eq!(estimate(0).likely, millis(5_000));
+    assert_eq!(
+        estimate(2_999),
+        AnswerEstimate {
+            likely: UNLOADED,
+            ..AnswerEstimate::default()
+        }
+    );
+}
