--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -265,9 +265,15 @@
     let (head, body) = response.into_parts();
     let metadata = ResponseMetadata::parse(&head);
     let status = head.status;
-    // A response to another request does not show whether this one was processed.
-    if !metadata.request_id.is_empty() && metadata.request_id != context.metadata.request_id {
-        return Err(AttemptError::Unsure("answer_to_another"));
+    // A response to another request does not show whether this one was processed. One without an id may be
+    // such a response, unless it is the first on its connection.
+    if metadata.request_id != context.metadata.request_id {
+        if !metadata.request_id.is_empty() {
+            return Err(AttemptError::Unsure("answer_to_another"));
+        }
+        if connection.has_answered() {
+            return Err(AttemptError::Unsure("answer_without_id"));
+        }
     }
     record_stated_limit(&context.shared, question, metadata.server_limit);
     record_notices(&context.shared, question, metadata.notices);
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -86,6 +86,12 @@
         })
     }
 
+    /// Returns whether the server has answered on this connection, so that it may have more to say to an
+    /// earlier request.
+    pub fn has_answered(&self) -> bool {
+        self.is_reused || self.checked_process.is_some()
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.address
