--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -18,6 +18,12 @@
     require_range, //
 };
 
+/// Memory of the smallest instances, in MB.
+const DEFAULT_MEMORY_MB: u32 = 256;
+/// Number of parts of the memory of which one is for the bodies of requests and answers. A body that is
+/// read takes up to twice its size, and connections and tables take the rest.
+const MEMORY_PARTS: usize = 3;
+
 /// Settings of a gateway, read from a JSON file.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -55,6 +61,13 @@
     pub order_settle_ms: f64,
     /// Maximum number of file descriptors that the process may open.
     pub descriptors: u32,
+    /// Memory that the process may use, in MB of 1,048,576 bytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
+}
+
+fn default_memory_mb() -> u32 {
+    DEFAULT_MEMORY_MB
 }
 
 impl GatewaySettings {
@@ -66,12 +79,18 @@
         require_range(self.retry_allowance, 0.0, 1e6, "repeat_allowance")?;
         require_range(self.order_settle_ms, 0.0, 600_000.0, "order_turn_ms")?;
         require_range(self.descriptors, 300, 10_000_000, "descriptors")?;
+        require_range(self.memory_mb, 32, 1 << 20, "memory_mb")?;
         let is_distinct = self.listen != self.readiness && self.store != self.listen;
         let problem = "the address for callers is also the readiness or store address";
         let remedy = "give the gateway an address of its own for callers";
         require(is_distinct, "listen", problem, remedy)
     }
 
+    /// Returns the number of bytes that the bodies of requests and answers may have together.
+    pub fn body_bytes(&self) -> usize {
+        self.memory_mb as usize * (1 << 20) / MEMORY_PARTS
+    }
+
     /// Returns the time between SIGTERM and SIGKILL.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     pub(crate) resumes: IntCounterVec,
     pub(crate) origins: IntGauge,
     pub(crate) dropped_origins: IntCounter,
+    pub(crate) body_bytes: IntGauge,
     pub(crate) unreadable_entries: IntCounterVec,
     pub(crate) config_version: IntGauge,
     pub(crate) latencies: LatencyMetrics,
@@ -82,6 +83,7 @@
             resumes: set.counter_vec("resumes_total", resumes_help, "source"),
             origins: set.gauge("known_streams", "Streams whose version is known"),
             dropped_origins: set.counter("dropped_streams_total", dropped_help),
+            body_bytes: set.gauge("body_bytes", "Bytes of the bodies in memory"),
             unreadable_entries: set.counter_vec(
                 "unreadable_entries_total",
                 unreadable_help,
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -44,5 +44,7 @@
     shared: Arc<GatewayShared>,
     _request: Request<Incoming>,
 ) -> Response<ResponseBody> {
+    let held = i64::try_from(shared.bodies.held_bytes()).unwrap_or(i64::MAX);
+    shared.metrics.body_bytes.set(held);
     Response::new(bytes_body(shared.metrics.to_text()))
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -36,8 +36,7 @@
     ResponseBody,
     SendFailure,
     WebError,
-    bytes_body,
-    read_body, //
+    bytes_body, //
 };
 
 use crate::attempt::{
@@ -75,6 +74,8 @@
 const CONNECTION_BROKE: &str = "connection_broke";
 /// Reason of an attempt whose backend server wants no more requests for some time.
 const RESTING: &str = "resting";
+/// Reason of an attempt whose response does not fit into the memory for bodies.
+const MEMORY_FULL: &str = "memory_full";
 /// Size limit of the body of a refusal.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 /// Size limit of a response body that is read completely.
@@ -343,8 +344,10 @@
 ) -> Result<CompleteResponse, AttemptError> {
     let (head, body) = response.http.into_parts();
     let time_left = context.time_left();
-    let bytes = match read_body(body, MAX_RESPONSE_BYTES, time_left).await {
+    let bodies = &context.shared.bodies;
+    let bytes = match bodies.read_body(body, MAX_RESPONSE_BYTES, time_left).await {
         Err(WebError::Timeout) => return Err(AttemptError::DeadlineExceeded),
+        Err(WebError::MemoryFull) => return Err(AttemptError::Unsure(MEMORY_FULL)),
         Err(error) if error.is_malformed() => {
             return Err(AttemptError::Unsure("malformed_response"));
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -31,8 +31,7 @@
 };
 use web::{
     ResponseBody,
-    WebError,
-    read_body, //
+    WebError, //
 };
 
 use crate::attempt::AttemptError;
@@ -133,7 +132,7 @@
     let deadline = deadline - RESPONSE_MARGIN.min(deadline - started);
     let id = String::from_utf8_lossy(&metadata.request_id).into_owned();
     let body = tokio::select! {
-        body = read_request_body(body, &table, deadline) => body?,
+        body = read_request_body(shared, body, &table, deadline) => body?,
         error = give_up(shared, &id, &rule, started, || false) => return Err(error),
     };
     let service = rule.choose_service(&metadata.request_id).clone();
@@ -201,13 +200,16 @@
 }
 
 async fn read_request_body(
+    shared: &GatewayShared,
     body: Incoming,
     table: &RouteTable,
     deadline: Instant,
 ) -> Result<Bytes, RequestError> {
     let time_left = deadline.saturating_duration_since(Instant::now());
-    match read_body(body, table.limits.max_body_bytes, time_left).await {
+    let limit_bytes = table.limits.max_body_bytes;
+    match shared.bodies.read_body(body, limit_bytes, time_left).await {
         Ok(body) => Ok(body),
+        Err(WebError::MemoryFull) => Err(RequestError::MemoryFull),
         Err(WebError::TooLarge { .. }) => Err(RequestError::BodyTooLarge),
         Err(WebError::Timeout) => Err(RequestError::DeadlineExceeded),
         Err(_) => Err(RequestError::IncompleteBody),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -43,6 +43,7 @@
     StoreEra, //
 };
 use web::{
+    BodyBudget,
     ConnectionLimits,
     ConnectionPool, //
 };
@@ -162,6 +163,8 @@
     pub(crate) exchange_socket: OnceLock<Arc<UdpSocket>>,
     /// Era of the store, sent when it rises.
     pub(crate) eras: watch::Sender<Option<StoreEra>>,
+    /// Memory for the bodies of requests and answers.
+    pub(crate) bodies: BodyBudget,
     /// Window of the graceful shutdown, or `None` while the gateway is not draining.
     pub(crate) drain: watch::Sender<Option<DrainWindow>>,
     state: Mutex<GatewayState>,
@@ -207,6 +210,7 @@
             origins: OriginState::default(),
             exchange_socket: OnceLock::new(),
             eras: watch::Sender::new(None),
+            bodies: BodyBudget::new(settings.body_bytes()),
             drain: watch::Sender::new(None),
             pool: Mutex::new(ConnectionPool::default()),
             settings,
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -32,6 +32,9 @@
     /// The timeout expired.
     #[snafu(display("no answer within the time limit; try again later"))]
     Timeout,
+    /// The bodies in memory leave no room for this one.
+    #[snafu(display("no memory is left for the body; send it again later"))]
+    MemoryFull,
     /// The body exceeds the size limit.
     #[snafu(display("the body is longer than {limit_bytes} bytes; send less"))]
     TooLarge {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server and client based on `hyper`, with limits on sizes, connections and times.
 
 mod body;
+mod body_budget;
 mod client;
 mod connection;
 mod connection_state;
@@ -19,6 +20,7 @@
 pub use body::channel_body;
 pub use body::json_response;
 pub use body::read_body;
+pub use body_budget::BodyBudget;
 pub use client::HttpRequest;
 pub use client::HttpResponse;
 pub use client::open_response;
