--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -67,6 +67,8 @@
 const MAX_UNUSABLE: u32 = 2;
 /// Idle timeout of a pooled connection if the backend server states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest idle timeout of a pooled connection. The clock cannot hold all that backend servers state.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Margin by which a pooled connection expires before the idle timeout that the backend server
 /// states.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -328,7 +330,8 @@
     }
     let idle_timeout = metadata
         .keep_alive_timeout
-        .map_or(IDLE_TIMEOUT, |stated| stated.saturating_sub(IDLE_MARGIN));
+        .map_or(IDLE_TIMEOUT, |stated| stated.saturating_sub(IDLE_MARGIN))
+        .min(MAX_IDLE_TIMEOUT);
     if !idle_timeout.is_zero() {
         shared
             .pool()
