--- a/crates/gateway/src/versions/origin_reader.rs
+++ b/crates/gateway/src/versions/origin_reader.rs
@@ -185,9 +185,11 @@
     if before.is_some_and(|before| item.revision < before.revision) {
         return result;
     }
+    let known = before.map(|before| before.list.versions.clone());
+    let known = known.unwrap_or_default();
     let saved = SavedVersions::new(list, item.revision, before);
-    for version in &saved.list.versions {
-        tables.history.add(now, &service, version.clone());
+    for version in saved.list.versions.difference(&known) {
+        tables.history.record_listed(now, &service, version.clone());
     }
     tables.saved.insert(service.clone(), saved);
     drop(tables);
--- a/crates/policy/src/version_history.rs
+++ b/crates/policy/src/version_history.rs
@@ -98,13 +98,20 @@
         mixed
     }
 
-    /// Adds a version that another gateway has seen. Has no effect on a known one.
-    pub fn add(&mut self, now: Instant, service: &ServiceName, version: Option<SoftwareVersion>) {
+    /// Records a version that another gateway has listed. It may have begun streams until now, also if
+    /// this gateway saw its engines leave long ago.
+    pub fn record_listed(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        version: Option<SoftwareVersion>,
+    ) {
         let versions = self.services.entry(service.clone()).or_default();
-        versions.entry(version).or_insert(VersionUse {
+        let listed = versions.entry(version).or_insert(VersionUse {
             last_seen: now,
             is_present: false,
         });
+        listed.last_seen = now;
     }
 
     /// Returns the versions of a service that may have begun a stream which a caller takes up.
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -161,3 +161,20 @@
     }
     assert_eq!(history.services().count(), 0);
 }
+
+/// Guards against a base that is decided too early: a version that left long ago has come back and left while
+/// this gateway was out of step, and shows in the list that others wrote.
+#[test]
+fn record_listed_version_that_left() {
+    let service: ServiceName = "assist".parse().unwrap();
+    let version: SoftwareVersion = "v1".parse().unwrap();
+    let mut history = VersionHistory::default();
+    let now = Instant::now();
+    history.record_listed(now, &service, Some(version.clone()));
+    let later = now + VERSION_MEMORY * 2;
+    assert!(history.recent(later, &service).is_empty());
+    history.record_listed(later, &service, Some(version.clone()));
+    let recent = history.recent(later + SECOND, &service);
+    assert!(recent.contains(&Some(version)));
+    assert!(history.present(&service).is_empty());
+}
