--- a/crates/gateway/src/streams/stream_attempt.rs
+++ b/crates/gateway/src/streams/stream_attempt.rs
@@ -89,7 +89,7 @@
         .record_outcome(Instant::now(), instance, outcome);
     drop(state);
     // After other failures the engine is known to live.
-    if matches!(reason, "stream_cut" | "ended_mid_event") {
+    if matches!(reason, "stream_cut" | "ended_mid_event" | "server_ended") {
         let cause = "connection broke within a stream";
         record_crash(&context.shared, &context.witness(), instance, cause);
     }
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -33,7 +33,10 @@
 };
 use crate::streams::stream_timing::StreamTiming;
 use crate::suspects::answer_watch::AnswerWatch;
-use crate::suspects::unframed_end::record_response_end;
+use crate::suspects::unframed_end::{
+    has_ended_with_stream,
+    record_stream_end, //
+};
 use crate::versions::origin_lookup::record_first_event;
 
 /// How the attempts of a stream ended.
@@ -154,6 +157,9 @@
                 Ok(None) if self.cursor.is_mid_event() => {
                     return self.fail(instance, "ended_mid_event");
                 }
+                Ok(None) if self.has_ended_with_server(&attempt).await => {
+                    return self.fail(instance, "server_ended");
+                }
                 Ok(None) => {
                     self.finish_attempt(attempt);
                     return StreamEnd::Complete;
@@ -173,6 +179,11 @@
         }
     }
 
+    /// Returns whether the end of a body without a length or chunks is that of its server.
+    async fn has_ended_with_server(&self, attempt: &StreamAttempt) -> bool {
+        !attempt.metadata.is_framed && has_ended_with_stream(&self.context, &attempt.instance).await
+    }
+
     fn fail(&self, instance: InstanceId, reason: &'static str) -> StreamEnd {
         record_failed_attempt(&self.context, &instance, reason);
         StreamEnd::Failed(instance, reason)
@@ -210,7 +221,7 @@
         let context = &self.context;
         record_decode_speed(context, &attempt.instance, attempt.started);
         let is_framed = attempt.metadata.is_framed;
-        record_response_end(context, &attempt.instance, is_framed, true);
+        record_stream_end(context, &attempt.instance, is_framed);
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
     }
 
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -37,11 +37,24 @@
 /// Time after that in which a busy server sends something, so that a probe is not needed.
 const LIVENESS_TIME: Duration = Duration::from_millis(200);
 
+/// Timeout of a probe for which the end of a stream waits.
+const STREAM_PROBE_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 const UNFRAMED_CAUSE: &str = "backend server ended with a response of unknown length";
 
+/// Waits a moment for the question whether the server of a stream of unknown length has ended with it.
+/// Returns false if that is not known by then.
+pub(crate) async fn has_ended_with_stream(context: &RequestContext, instance: &InstanceId) -> bool {
+    let shared = &context.shared;
+    let incarnation = incarnation_of(shared, instance);
+    sleep(FIRST_PROBE_DELAY).await;
+    let probing = probe_process(shared, instance, incarnation, STREAM_PROBE_TIMEOUT);
+    probing.await == Some(ProcessState::Ended)
+}
+
 /// Records the end of a response. A complete success clears the request; whether a response of unknown
 /// length was complete, or its server ended with it, is found out in the background.
 pub(crate) fn record_response_end(
@@ -58,27 +71,64 @@
     }
 }
 
+/// Records the end of a stream after [`has_ended_with_stream`].
+pub(crate) fn record_stream_end(
+    context: &Arc<RequestContext>,
+    instance: &InstanceId,
+    is_framed: bool,
+) {
+    if is_framed {
+        return record_completed(context);
+    }
+    let (context, instance) = (context.clone(), instance.clone());
+    let ended_at = Instant::now();
+    tokio::spawn(async move {
+        let incarnation = incarnation_of(&context.shared, &instance);
+        let state = settle_state(&context.shared, &instance, incarnation, ended_at).await;
+        record_state(&context, &instance, state, true);
+    });
+}
+
 async fn check_unframed_end(context: Arc<RequestContext>, instance: InstanceId, is_success: bool) {
     let shared = &context.shared;
     let incarnation = incarnation_of(shared, &instance);
     let ended_at = Instant::now();
     sleep(FIRST_PROBE_DELAY).await;
-    let mut state = probe_process(shared, &instance, incarnation).await;
+    let mut state = probe_process(shared, &instance, incarnation, PROBE_TIMEOUT).await;
     if state != Some(ProcessState::Ended) {
-        let settled_at = ended_at + SURVIVAL_TIME;
-        sleep_until(settled_at + LIVENESS_TIME).await;
-        state = if shared.has_shown_liveness(&instance, settled_at) {
-            Some(ProcessState::Running)
-        } else {
-            probe_process(shared, &instance, incarnation).await
-        };
+        state = settle_state(shared, &instance, incarnation, ended_at).await;
     }
+    record_state(&context, &instance, state, is_success);
+}
+
+/// Returns the state of a process once it would no longer answer if it had ended with its response.
+async fn settle_state(
+    shared: &GatewayShared,
+    instance: &InstanceId,
+    incarnation: Option<IncarnationId>,
+    ended_at: Instant,
+) -> Option<ProcessState> {
+    let settled_at = ended_at + SURVIVAL_TIME;
+    sleep_until(settled_at + LIVENESS_TIME).await;
+    if shared.has_shown_liveness(instance, settled_at) {
+        return Some(ProcessState::Running);
+    }
+    probe_process(shared, instance, incarnation, PROBE_TIMEOUT).await
+}
+
+fn record_state(
+    context: &RequestContext,
+    instance: &InstanceId,
+    state: Option<ProcessState>,
+    is_success: bool,
+) {
     match state {
         Some(ProcessState::Ended) => {
-            record_crash(shared, &context.witness(), &instance, UNFRAMED_CAUSE);
+            let shared = &context.shared;
+            record_crash(shared, &context.witness(), instance, UNFRAMED_CAUSE);
         }
         Some(ProcessState::Running | ProcessState::Unstated) if is_success => {
-            record_completed(&context);
+            record_completed(context);
         }
         _ => {}
     }
@@ -96,6 +146,7 @@
     shared: &GatewayShared,
     instance: &InstanceId,
     incarnation: Option<IncarnationId>,
+    timeout: Duration,
 ) -> Option<ProcessState> {
     let target = find_process(&shared.lock(), instance, incarnation);
     let Some(target) = target else {
@@ -107,6 +158,6 @@
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["probe"]).inc();
     charge_request(shared, instance);
-    let answer = target.probe(shared, instance, PROBE_TIMEOUT).await.ok()?;
+    let answer = target.probe(shared, instance, timeout).await.ok()?;
     Some(process_state(answer, incarnation))
 }
