--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -36,7 +36,8 @@
     /// The request was not processed; no backend server accepts it now.
     Unavailable(&'static str),
     /// The request was not processed; the bodies of other requests and answers leave no memory for its own.
-    MemoryFull,
+    /// Holds the time after which the caller may come back.
+    MemoryFull(Duration),
     /// The request was not processed; this gateway is draining and could not finish it in time.
     Draining,
     /// The request was not processed; the same request may have crashed backend servers. Holds the
@@ -59,8 +60,6 @@
 
 /// Delay before a retry of a request that no backend server accepted.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Delay before a retry while no memory is left for a body.
-const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 /// Delay before a retry while the gateway drains: time for the load balancer to switch to another
 /// gateway, or for this one to return.
 const DRAINING_RETRY_DELAY: Duration = Duration::from_millis(1_500);
@@ -82,7 +81,7 @@
             Self::Limited(_) => "limited",
             Self::Resting(_) => "resting",
             Self::VersionUnknown(_) => "version_unknown",
-            Self::MemoryFull => "memory_full",
+            Self::MemoryFull(_) => "memory_full",
             Self::Draining => "leaving",
             Self::DeadlineExceeded => "out_of_time",
         }
@@ -93,8 +92,8 @@
         match self {
             Self::NotConfigured => Some(UNCONFIGURED_RETRY_DELAY),
             Self::Unavailable(_) => Some(UNAVAILABLE_RETRY_DELAY),
-            Self::MemoryFull => Some(MEMORY_RETRY_DELAY),
             Self::Quarantined(delay)
+            | Self::MemoryFull(delay)
             | Self::Limited(delay)
             | Self::Resting(delay)
             | Self::VersionUnknown(delay) => Some(delay),
@@ -107,7 +106,7 @@
         match self {
             Self::NotConfigured
             | Self::Unavailable(_)
-            | Self::MemoryFull
+            | Self::MemoryFull(_)
             | Self::Draining
             | Self::Quarantined(_)
             | Self::Limited(_)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -55,6 +55,8 @@
 
 /// Time reserved before the caller's deadline for an error response of the gateway.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
+/// Shortest delay before a retry of a request for whose body no memory is left.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Serves one request of a caller.
 pub(crate) async fn serve_request(
@@ -209,7 +211,10 @@
     let limit_bytes = table.limits.max_body_bytes;
     match shared.bodies.read_body(body, limit_bytes, time_left).await {
         Ok(body) => Ok(body),
-        Err(WebError::MemoryFull) => Err(RequestError::MemoryFull),
+        Err(WebError::MemoryFull) => {
+            let spread = MEMORY_RETRY_DELAY.mul_f64(rand::random());
+            Err(RequestError::MemoryFull(MEMORY_RETRY_DELAY + spread))
+        }
         Err(WebError::TooLarge { .. }) => Err(RequestError::BodyTooLarge),
         Err(WebError::Timeout) => Err(RequestError::DeadlineExceeded),
         Err(_) => Err(RequestError::IncompleteBody),
--- a/crates/gateway/src/versions/origin_lookup.rs
+++ b/crates/gateway/src/versions/origin_lookup.rs
@@ -46,7 +46,7 @@
 /// Time for which the first event of a stream waits until the store has its record, without which the
 /// stream would be taken for one of the base.
 const RECORD_TIME: Duration = Duration::from_millis(1_000);
-/// Time for which it waits where a stream without a record is taken for none of any version.
+/// Time for which it waits where nothing is concluded from a stream without a record.
 const OPTIONAL_RECORD_TIME: Duration = Duration::from_millis(100);
 /// Time for which the entries of a version are awaited that another gateway knows.
 const ENTRY_TIME: Duration = Duration::from_secs(1);
