--- a/crates/gateway/src/tokens/token_wait.rs
+++ b/crates/gateway/src/tokens/token_wait.rs
@@ -235,14 +235,22 @@
     demand.is_some_and(|demand| !demand.queue.is_empty())
 }
 
+/// Returns whether a backend server of a group has not turned the request away.
+fn has_candidate(state: &GatewayState, history: &AttemptHistory, group: &ServerGroup) -> bool {
+    let filter = group.filter(&history.excluded);
+    let mut views = state.fleet.views();
+    views.any(|view| filter.admits(&view.record))
+}
+
 fn is_head(state: &GatewayState, group: &ServerGroup, id: WaiterId) -> bool {
     let demand = state.token_state.groups.get(group);
     demand.is_some_and(|demand| demand.queue.head() == Some(id))
 }
 
 /// Adds a request to the queue of its group, or returns the error for one that would wait too long.
-/// Returns `None` if neither tokens nor the ends of rests are what the request lacks, and false with the
-/// place if it is not known yet how many requests wait at other gateways.
+/// Returns `None` if neither tokens nor the ends of rests are what the request lacks, as after all servers
+/// have turned it away, and false with the place if it is not known yet how many requests wait at other
+/// gateways.
 fn join_queue(
     context: &RequestContext,
     history: &AttemptHistory,
@@ -251,7 +259,7 @@
     let now = Instant::now();
     let mut state = context.shared.lock();
     let known = shortage(&state, history, now, group);
-    if known.is_none() && !has_waiting(&state, group) {
+    if known.is_none() && !(has_waiting(&state, group) && has_candidate(&state, history, group)) {
         return None;
     }
     let shortage = known.unwrap_or(Shortage::Tokens);
