--- a/crates/gateway/src/streams/generation.rs
+++ b/crates/gateway/src/streams/generation.rs
@@ -111,9 +111,13 @@
     resume_after: Option<u64>,
 ) -> Result<OpenStream, RequestError> {
     let mut kv_cache = None;
+    let mut has_turn = false;
     loop {
         if kv_cache.is_none() {
-            check_tokens(context, history, EngineStage::Decode).await?;
+            // A request that has had its turn in the queue is served before those that still wait.
+            if !has_turn {
+                check_tokens(context, history, EngineStage::Decode).await?;
+            }
             kv_cache = prefill_prompt(context, history).await;
         }
         if !context.has_time_for_attempt(history) {
@@ -126,6 +130,10 @@
             return Err(no_engine(context, history));
         };
         let instance = engine.selection.instance.clone();
+        has_turn = drop_invalid(context, &mut kv_cache).await;
+        if has_turn {
+            continue;
+        }
         if let Err(AttemptError::Quarantined(remaining)) = check_suspect(context).await {
             return Err(history.quarantine_error(remaining));
         }
@@ -158,6 +166,21 @@
     }
 }
 
+/// Drops a KV cache whose process has ended, so that the prompt is prefilled again. Returns whether it did.
+async fn drop_invalid(context: &RequestContext, kv_cache: &mut Option<RemoteKvCache>) -> bool {
+    let Some(held) = kv_cache else { return false };
+    if held.handle.is_valid(&context.shared).await {
+        return false;
+    }
+    held.fetch_requested = true;
+    let reason = "the process that prefilled the prompt has ended or does not answer";
+    let record = context.record(DecisionKind::Retry, reason);
+    let record = record.chosen(&held.handle.instance);
+    context.shared.log.write(record);
+    *kv_cache = None;
+    true
+}
+
 /// Logs that no engine can take a stream, and returns the error.
 fn no_engine(context: &RequestContext, history: &AttemptHistory) -> RequestError {
     let reason = match history.version {
@@ -311,7 +334,8 @@
     metadata.resume_after_event = resume_after;
     if let Some(kv_cache) = kv_cache.as_mut() {
         kv_cache.fetch_requested = true;
-        metadata.kv_source = Some((kv_cache.address, kv_cache.handle.clone()));
+        let handle = &kv_cache.handle;
+        metadata.kv_source = Some((handle.address, handle.name.clone()));
     }
     let started = Instant::now();
     let response = start_attempt(context, engine.address, &metadata, required_start).await;
--- a/crates/gateway/src/streams/prefill.rs
+++ b/crates/gateway/src/streams/prefill.rs
@@ -14,6 +14,7 @@
     select_prefill_engine, //
 };
 use tokio::time::Instant;
+use units::IncarnationId;
 
 use crate::attempt::AttemptError;
 use crate::latency::ServerStage;
@@ -26,7 +27,10 @@
     start_attempt, //
 };
 use crate::servers::in_flight::InFlightGuard;
-use crate::servers::kv_cache::RemoteKvCache;
+use crate::servers::kv_cache::{
+    KvHandle,
+    RemoteKvCache, //
+};
 use crate::shared::GatewayState;
 use crate::streams::generation::{
     SelectedEngine,
@@ -174,7 +178,9 @@
     let mut metadata = context.attempt_metadata(instance, engine.position);
     metadata.prefill_only = true;
     let started = Instant::now();
-    let response = start_attempt(context, engine.address, &metadata, None).await;
+    // The handle in the answer belongs to the process, which may be a later one than the entry's.
+    let required_start = engine.started_unix_ms;
+    let response = start_attempt(context, engine.address, &metadata, required_start).await;
     if matches!(response, Err(AttemptError::Unreachable)) {
         in_flight.return_token();
     }
@@ -201,11 +207,15 @@
     drop(state);
     Ok(RemoteKvCache {
         shared: context.shared.clone(),
-        instance: engine.selection.instance,
-        address: engine.address,
+        handle: KvHandle {
+            name: prefill.handle,
+            instance: engine.selection.instance,
+            address: engine.address,
+            incarnation: engine.started_unix_ms.map(IncarnationId),
+            given_at: Instant::now(),
+        },
         centre: engine.centre,
         version: engine.selection.version,
-        handle: prefill.handle,
         fetch_requested: false,
         fetch_refused: false,
     })
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -184,6 +184,20 @@
         Some(connection)
     }
 
+    /// Returns whether an idle connection to an address is open and fits.
+    pub fn has_open(
+        &self,
+        now: Instant,
+        address: SocketAddr,
+        fits: impl Fn(&ClientConnection) -> bool,
+    ) -> bool {
+        let idle = self.idle.get(&address).into_iter().flatten();
+        let mut open = idle
+            .filter(|entry| entry.expires_at > now && !entry.connection.sender.is_closed())
+            .map(|entry| &entry.connection);
+        open.any(fits)
+    }
+
     /// Returns a connection to the pool, where it can be reused until `expires_at`.
     pub fn release(&mut self, connection: ClientConnection, expires_at: Instant) {
         let idle = self.idle.entry(connection.address).or_default();
