--- a/crates/policy/src/answer_times.rs
+++ b/crates/policy/src/answer_times.rs
@@ -13,6 +13,8 @@
 const MAX_SAMPLES: usize = 64;
 /// Time for which an answer says something about later ones.
 const SAMPLE_LIFETIME: Duration = Duration::from_secs(30);
+/// Factor by which an answer may take longer than the slowest of those.
+const TAIL_FACTOR: f64 = 1.5;
 /// Number of routes with answers. Those of others are not kept, as of routes that come and go.
 const MAX_ROUTES: usize = 1_024;
 
@@ -29,8 +31,8 @@
 /// How long an answer takes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AnswerEstimate {
-    /// Time from arrival to end that few answers exceed, with the queues of the servers as they are.
-    pub likely: Duration,
+    /// Time from arrival to end that hardly any answer exceeds, with the queues of the servers as they are.
+    pub longest: Duration,
     /// Time from arrival to end that most answers exceed.
     pub least_total: Duration,
     /// Time that most answers take to make.
@@ -78,11 +80,12 @@
             .unzip();
         totals.sort_unstable();
         runs.sort_unstable();
-        let run = quantile(&runs, 4, 1);
+        let slowest = totals.last().copied().unwrap_or_default();
+        let run = lower_quartile(&runs);
         let queued = run.unwrap_or(unloaded).saturating_mul(rounds + 1);
         AnswerEstimate {
-            likely: quantile(&totals, 10, 9).unwrap_or_default().max(queued),
-            least_total: quantile(&totals, 4, 1).unwrap_or_default(),
+            longest: slowest.mul_f64(TAIL_FACTOR).max(queued),
+            least_total: lower_quartile(&totals).unwrap_or_default(),
             least_run: run.unwrap_or_default(),
         }
     }
@@ -92,7 +95,6 @@
     now.saturating_duration_since(sample.0) < SAMPLE_LIFETIME
 }
 
-/// Returns the value below which `part` of `parts` of the sorted values lie.
-fn quantile(sorted: &[Duration], parts: usize, part: usize) -> Option<Duration> {
-    sorted.get(sorted.len() * part / parts).copied()
+fn lower_quartile(sorted: &[Duration]) -> Option<Duration> {
+    sorted.get(sorted.len() / 4).copied()
 }
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -27,9 +27,10 @@
         }
     }
 
-    /// Returns whether a request that arrives now is likely to be answered in time.
+    /// Returns whether a request that arrives now is answered in time. An answer that has begun and is cut
+    /// cannot be taken back, so that nearly all have to fit.
     pub fn accepts(&self, now: Instant, estimate: &AnswerEstimate) -> bool {
-        now + estimate.likely <= self.answer_by
+        now + estimate.longest <= self.answer_by
     }
 
     /// Returns when a request without an answer is given up. One that no backend server may have run, as
--- a/crates/policy/tests/drains.rs
+++ b/crates/policy/tests/drains.rs
@@ -44,7 +44,7 @@
     let now = Instant::now();
     let window = DrainWindow::new(now, GRACE);
     let estimate = answer_times(now, &[(9_600, 2_400); 20]).estimate(now, &route(), 3, UNLOADED);
-    assert_eq!(estimate.likely, millis(9_600));
+    assert_eq!(estimate.longest, millis(14_400));
     assert!(!window.accepts(now, &estimate));
 }
 
@@ -69,6 +69,19 @@
     assert!(!window.accepts(now + millis(7_460), &estimate));
 }
 
+/// Guards against streams that are accepted since most end in time, and are cut if they are among the slow
+/// ones.
+#[test]
+fn accepts_few_slow_streams() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, GRACE);
+    let mut samples = vec![(1_800, 1_700); 40];
+    samples.push((4_300, 4_200));
+    let estimate = answer_times(now, &samples).estimate(now, &route(), 0, UNLOADED);
+    assert!(window.accepts(now + millis(1_000), &estimate));
+    assert!(!window.accepts(now + millis(3_560), &estimate));
+}
+
 /// Guards against a process without recent answers that accepts nothing, or everything.
 #[test]
 fn accepts_without_samples() {
@@ -77,7 +90,7 @@
     let old = answer_times(now, &[(9_600, 9_600)]);
     let now = now + Duration::from_secs(31);
     let estimate = old.estimate(now, &route(), 1, UNLOADED);
-    assert_eq!(estimate.likely, 2 * UNLOADED);
+    assert_eq!(estimate.longest, 2 * UNLOADED);
     assert_eq!(estimate.least_run, Duration::ZERO);
     assert!(!window.accepts(now, &estimate), "the window has passed");
 }
@@ -130,11 +143,11 @@
         let route: RouteName = format!("route-{number}").parse().unwrap();
         times.estimate(now, &route, 0, UNLOADED)
     };
-    assert_eq!(estimate(0).likely, millis(5_000));
+    assert_eq!(estimate(0).longest, millis(7_500));
     assert_eq!(
         estimate(2_999),
         AnswerEstimate {
-            likely: UNLOADED,
+            longest: UNLOADED,
             ..AnswerEstimate::default()
         }
     );
