--- a/crates/policy/src/answer_times.rs
+++ b/crates/policy/src/answer_times.rs
@@ -13,8 +13,6 @@
 const MAX_SAMPLES: usize = 64;
 /// Time for which an answer says something about later ones.
 const SAMPLE_LIFETIME: Duration = Duration::from_secs(30);
-/// Factor by which an answer may take longer than the slowest of those.
-const TAIL_FACTOR: f64 = 1.5;
 /// Number of routes with answers. Those of others are not kept, as of routes that come and go.
 const MAX_ROUTES: usize = 1_024;
 
@@ -84,7 +82,7 @@
         let run = lower_quartile(&runs);
         let queued = run.unwrap_or(unloaded).saturating_mul(rounds + 1);
         AnswerEstimate {
-            longest: slowest.mul_f64(TAIL_FACTOR).max(queued),
+            longest: slowest.max(queued),
             least_total: lower_quartile(&totals).unwrap_or_default(),
             least_run: run.unwrap_or_default(),
         }
