gateway, web: each decision about a request that arrives during a stop is logged

A stopping gateway logged nothing when it accepted a request, so that it could not be told whether its estimate was too low, the servers slowed down later, or the check was passed by. It logs each one now, with the estimate, the time left, the age of the oldest answer of the route under way, the request's own deadline, and whether the connection was kept. Streams that the gateway itself cuts no longer end with 'caller disconnected'.

No decision changes.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -186,6 +186,7 @@
         let all_answered = timeout(remaining, &mut self.server).await.is_ok();
         if !all_answered {
             // Only answers that have begun are cut. They log their ends before the gateway exits.
+            self.shared.start_cutting();
             self.server.abort();
             sleep(CUT_LOG_TIME).await;
         }
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,5 +1,6 @@
 //! Requests during the graceful shutdown: which are accepted, and when the others are told.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use logs::{
@@ -17,7 +18,11 @@
     Instant,
     sleep_until, //
 };
-use units::ServiceName;
+use units::{
+    RouteName,
+    ServiceName, //
+};
+use web::ConnectionUse;
 
 use crate::request_error::RequestError;
 use crate::shared::{
@@ -28,18 +33,74 @@
 /// Interval between checks whether a request has been sent to a backend server meanwhile.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Returns whether a request that arrives now is likely to be answered before the gateway ends.
-pub(crate) fn accepts_request(
-    shared: &GatewayShared,
-    rule: &RouteRule,
-    output_tokens: u32,
-) -> bool {
+/// What a decision about a request during the shutdown needs to know of it.
+pub(crate) struct DrainRequest<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) rule: &'a RouteRule,
+    pub(crate) output_tokens: u32,
+    /// When its answer has to be complete at the latest, for the caller and the route.
+    pub(crate) deadline: Instant,
+    pub(crate) connection_use: ConnectionUse,
+}
+
+/// Returns whether a request that arrives now is likely to be answered before the gateway ends, and logs
+/// why.
+pub(crate) fn accepts_request(shared: &GatewayShared, request: &DrainRequest<'_>) -> bool {
     let Some(window) = *shared.drain.borrow() else {
         return true;
     };
     let now = Instant::now();
-    let estimate = estimate_answer(&shared.lock(), now, rule, output_tokens);
-    window.accepts(now, &estimate)
+    let rule = request.rule;
+    let estimate = estimate_answer(&shared.lock(), now, rule, request.output_tokens);
+    let is_accepted = window.accepts(now, &estimate);
+    let (decision, reason) = if is_accepted {
+        ("accepted", "request accepted while the gateway stops")
+    } else {
+        ("refused", "request refused, since the gateway stops")
+    };
+    let connection_use = request.connection_use.as_str();
+    let decisions = &shared.metrics.drain_decisions;
+    decisions
+        .with_label_values(&[decision, connection_use])
+        .inc();
+    let until_deadline = request.deadline.saturating_duration_since(now);
+    let record = describe(
+        DecisionRecord::new(DecisionKind::Drain, reason),
+        &window,
+        now,
+        &estimate,
+    )
+    .request(request.id)
+    .class(&rule.name)
+    .input("deadline_ms", until_deadline.as_millis() as u64)
+    .input("connection", connection_use);
+    shared.log.write(record);
+    is_accepted
+}
+
+/// An answer under way, from the arrival of its request until it is dropped.
+pub(crate) struct RunningAnswer {
+    shared: Arc<GatewayShared>,
+    route: RouteName,
+    arrived: Instant,
+}
+
+impl RunningAnswer {
+    pub(crate) fn start(shared: &Arc<GatewayShared>, route: &RouteName, arrived: Instant) -> Self {
+        shared.lock().answer_times.start(route, arrived);
+        Self {
+            shared: shared.clone(),
+            route: route.clone(),
+            arrived,
+        }
+    }
+}
+
+impl Drop for RunningAnswer {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        state.answer_times.finish(&self.route, self.arrived);
+    }
 }
 
 /// Records how long a complete answer has taken, and how much of that time it took to make it.
@@ -70,13 +131,10 @@
             continue;
         }
         let reason = "request given up, since the gateway ends before it can be answered";
-        let left = window.answer_by.saturating_duration_since(now);
-        let record = DecisionRecord::new(DecisionKind::Finish, reason)
+        let record = DecisionRecord::new(DecisionKind::Finish, reason);
+        let record = describe(record, &window, now, &estimate)
             .request(id)
-            .input("may_have_run", has_run)
-            .input("left_ms", left.as_millis() as u64)
-            .input("least_total_ms", estimate.least_total.as_millis() as u64)
-            .input("least_run_ms", estimate.least_run.as_millis() as u64);
+            .input("may_have_run", has_run);
         shared.log.write(record);
         return if has_run {
             RequestError::Unsure("leaving")
@@ -86,6 +144,27 @@
     }
 }
 
+/// Adds the inputs of a decision during the shutdown to its record.
+fn describe(
+    record: DecisionRecord,
+    window: &DrainWindow,
+    now: Instant,
+    estimate: &AnswerEstimate,
+) -> DecisionRecord {
+    let millis = |duration: Duration| duration.as_millis() as u64;
+    let left = window.answer_by.saturating_duration_since(now);
+    record
+        .input(
+            "stopping_ms",
+            millis(now.saturating_duration_since(window.since)),
+        )
+        .input("left_ms", millis(left))
+        .input("longest_ms", millis(estimate.longest))
+        .input("oldest_running_ms", millis(estimate.oldest_running))
+        .input("least_total_ms", millis(estimate.least_total))
+        .input("least_run_ms", millis(estimate.least_run))
+}
+
 async fn await_drain(shared: &GatewayShared) -> DrainWindow {
     let mut drains = shared.drain.subscribe();
     match drains.wait_for(Option::is_some).await.map(|window| *window) {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -30,12 +30,15 @@
     timeout_at, //
 };
 use web::{
+    ConnectionUse,
     ResponseBody,
     WebError, //
 };
 
 use crate::attempt::AttemptError;
 use crate::drain::{
+    DrainRequest,
+    RunningAnswer,
     accepts_request,
     give_up, //
 };
@@ -85,7 +88,7 @@
     response
 }
 
-/// Logs that the caller disconnected if dropped before the response head is available.
+/// Logs why there is no answer if dropped before the response head is available.
 struct DisconnectGuard {
     shared: Arc<GatewayShared>,
     id: String,
@@ -98,13 +101,15 @@
         if self.is_answered {
             return;
         }
-        let record = DecisionRecord::new(
-            DecisionKind::Finish,
-            "caller disconnected before the response head",
-        )
-        .request(&self.id)
-        .input("held_ms", self.started.elapsed().as_millis() as u64)
-        .input("draining", self.shared.is_draining());
+        let reason = if self.shared.is_cutting() {
+            "cut by the end of the grace period before the response head"
+        } else {
+            "caller disconnected before the response head"
+        };
+        let record = DecisionRecord::new(DecisionKind::Finish, reason)
+            .request(&self.id)
+            .input("held_ms", self.started.elapsed().as_millis() as u64)
+            .input("draining", self.shared.is_draining());
         self.shared.log.write(record);
     }
 }
@@ -127,12 +132,20 @@
     let rule = rule.ok_or(RequestError::NoRoute)?;
     let kind = rule.kind.as_str();
     shared.metrics.requests.with_label_values(&[kind]).inc();
-    if !accepts_request(shared, &rule, metadata.max_output_tokens.0) {
-        return Err(RequestError::Draining);
-    }
     let deadline = started + rule.timeout.min(metadata.timeout.unwrap_or(rule.timeout));
     let deadline = deadline - RESPONSE_MARGIN.min(deadline - started);
     let id = String::from_utf8_lossy(&metadata.request_id).into_owned();
+    let connection_use = head.extensions.get::<ConnectionUse>().copied();
+    let request = DrainRequest {
+        id: &id,
+        rule: &rule,
+        output_tokens: metadata.max_output_tokens.0,
+        deadline,
+        connection_use: connection_use.unwrap_or(ConnectionUse::First),
+    };
+    if !accepts_request(shared, &request) {
+        return Err(RequestError::Draining);
+    }
     let body = tokio::select! {
         body = read_request_body(shared, body, &table, deadline) => body?,
         error = give_up(shared, &id, &rule, started, || false) => return Err(error),
@@ -153,6 +166,7 @@
         metadata,
         started,
         deadline,
+        _answer: RunningAnswer::start(shared, &rule.name, started),
         rule,
         trial_crashes: Mutex::default(),
         may_have_run: AtomicBool::new(false),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,6 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::sync::{
     Arc,
     Mutex,
@@ -167,6 +171,8 @@
     pub(crate) bodies: BodyBudget,
     /// Window of the graceful shutdown, or `None` while the gateway is not draining.
     pub(crate) drain: watch::Sender<Option<DrainWindow>>,
+    /// Whether the grace period is over, so that the answers under way are cut.
+    is_cutting: AtomicBool,
     state: Mutex<GatewayState>,
     /// Idle connections to backend servers.
     pool: Mutex<ConnectionPool>,
@@ -212,6 +218,7 @@
             eras: watch::Sender::new(None),
             bodies: BodyBudget::new(settings.body_bytes()),
             drain: watch::Sender::new(None),
+            is_cutting: AtomicBool::new(false),
             pool: Mutex::new(ConnectionPool::default()),
             settings,
         }
@@ -240,6 +247,16 @@
         self.drain.borrow().is_some()
     }
 
+    /// Records that the answers under way are cut from now on.
+    pub(crate) fn start_cutting(&self) {
+        self.is_cutting.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether an answer that ends now is cut by this gateway rather than by its caller.
+    pub(crate) fn is_cutting(&self) -> bool {
+        self.is_cutting.load(Ordering::Relaxed)
+    }
+
     /// Records a liveness signal of a backend server.
     pub(crate) fn record_liveness(&self, instance: &InstanceId) {
         if let Some(view) = self.lock().fleet.get_mut(instance) {
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -46,7 +46,7 @@
     /// The stream of this backend server broke off or is invalid, for the given reason. The failure has
     /// been recorded.
     Failed(InstanceId, &'static str),
-    /// The caller disconnected.
+    /// The caller disconnected, or the gateway has cut the stream as it ends.
     Aborted,
     /// The request's deadline passed.
     DeadlineExceeded,
@@ -83,7 +83,7 @@
                     self.record_answer_time();
                     return self.chunks.finish().await;
                 }
-                StreamEnd::Aborted => return self.log_end("caller disconnected", false),
+                StreamEnd::Aborted => return self.log_abort(),
                 StreamEnd::DeadlineExceeded => {
                     return self.log_end("request deadline exceeded", true);
                 }
@@ -111,7 +111,7 @@
             let opened = tokio::select! {
                 opened = open_stream(&self.context, &mut self.history, last_id) => opened,
                 () = self.chunks.closed() => {
-                    self.log_end("caller disconnected", false);
+                    self.log_abort();
                     return None;
                 }
             };
@@ -233,6 +233,15 @@
         record_answer(&self.context.shared, &self.context.rule, sample);
     }
 
+    /// Logs that nobody reads the stream any more.
+    fn log_abort(&self) {
+        if self.context.shared.is_cutting() {
+            self.log_end("cut by the end of the grace period", true);
+        } else {
+            self.log_end("caller disconnected", false);
+        }
+    }
+
     fn log_end(&self, reason: &str, failed: bool) {
         let (context, timing) = (&self.context, &self.timing);
         let elapsed = context.started.elapsed().as_millis() as u64;
--- a/crates/policy/src/answer_times.rs
+++ b/crates/policy/src/answer_times.rs
@@ -1,5 +1,6 @@
-//! Recent times until the ends of answers, by route.
+//! Recent times until the ends of answers, and the ages of those under way, by route.
 
+use std::collections::btree_map::Entry;
 use std::collections::{
     BTreeMap,
     VecDeque, //
@@ -35,15 +36,51 @@
     pub least_total: Duration,
     /// Time that most answers take to make.
     pub least_run: Duration,
+    /// Time since the arrival of the oldest request whose answer is under way.
+    pub oldest_running: Duration,
 }
 
 /// Times of the latest answers of each route.
 #[derive(Debug, Default)]
 pub struct AnswerTimes {
     routes: BTreeMap<RouteName, VecDeque<(Instant, AnswerSample)>>,
+    /// Number of requests without a complete answer, by route and arrival.
+    running: BTreeMap<RouteName, BTreeMap<Instant, u32>>,
 }
 
 impl AnswerTimes {
+    /// Records that the answer to a request that arrived then is under way.
+    pub fn start(&mut self, route: &RouteName, arrived: Instant) {
+        if !self.running.contains_key(route) {
+            self.running.insert(route.clone(), BTreeMap::new());
+        }
+        if let Some(arrivals) = self.running.get_mut(route) {
+            *arrivals.entry(arrived).or_default() += 1;
+        }
+    }
+
+    /// Records that the answer to a request that arrived then has ended in any way.
+    pub fn finish(&mut self, route: &RouteName, arrived: Instant) {
+        let Some(arrivals) = self.running.get_mut(route) else {
+            return;
+        };
+        if let Entry::Occupied(mut entry) = arrivals.entry(arrived) {
+            *entry.get_mut() -= 1;
+            if *entry.get() == 0 {
+                entry.remove();
+            }
+        }
+        if arrivals.is_empty() {
+            self.running.remove(route);
+        }
+    }
+
+    /// Returns how long the oldest answer of a route has been under way.
+    fn oldest_running(&self, now: Instant, route: &RouteName) -> Option<Duration> {
+        let (arrived, _) = self.running.get(route)?.first_key_value()?;
+        Some(now.saturating_duration_since(*arrived))
+    }
+
     /// Records a complete answer.
     pub fn record(&mut self, now: Instant, route: &RouteName, sample: AnswerSample) {
         if !self.routes.contains_key(route) {
@@ -85,6 +122,7 @@
             longest: slowest.max(queued),
             least_total: lower_quartile(&totals).unwrap_or_default(),
             least_run: run.unwrap_or_default(),
+            oldest_running: self.oldest_running(now, route).unwrap_or_default(),
         }
     }
 }
--- a/crates/web/src/connection_state.rs
+++ b/crates/web/src/connection_state.rs
@@ -44,9 +44,30 @@
 /// Time for the first request on a new connection during a shutdown.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
+/// Place of a request among those on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// The first request on its connection.
+    First,
+    /// A request on a connection that the peer kept open.
+    Kept,
+}
+
+impl ConnectionUse {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Kept => "kept",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct PhaseRecord {
     phase: HttpPhase,
+    /// Place of the next request among those on the connection.
+    next_use: ConnectionUse,
     /// Since when the peer has taken no byte of what is to be sent.
     stalled_since: Option<Instant>,
 }
@@ -71,6 +92,7 @@
     pub(crate) fn new() -> Self {
         Self(Arc::new(Mutex::new(PhaseRecord {
             phase: HttpPhase::New(Instant::now()),
+            next_use: ConnectionUse::First,
             stalled_since: None,
         })))
     }
@@ -79,9 +101,11 @@
         self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Records that a complete request header has arrived.
-    pub(crate) fn start_request(&self) {
-        self.lock().phase = HttpPhase::Serving;
+    /// Records that a complete request header has arrived. Returns the request's place on the connection.
+    pub(crate) fn start_request(&self) -> ConnectionUse {
+        let mut record = self.lock();
+        record.phase = HttpPhase::Serving;
+        std::mem::replace(&mut record.next_use, ConnectionUse::Kept)
     }
 
     fn end_request(&self) {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -28,6 +28,7 @@
 pub use connection::ClientConnection;
 pub use connection::ConnectionPool;
 pub use connection::SendFailure;
+pub use connection_state::ConnectionUse;
 pub use error::WebError;
 pub use error::is_malformed;
 pub use limits::ConnectionLimits;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -129,7 +129,7 @@
 }
 
 /// Serves one connection until the peer closes it, a timeout expires, or `stop` turns true and the
-/// request in progress is answered.
+/// request in progress is answered. Each request carries its [`ConnectionUse`] as an extension.
 pub async fn serve_connection<S, F, R>(
     stream: S,
     limits: watch::Receiver<ConnectionLimits>,
@@ -142,8 +142,9 @@
 {
     let state = ConnectionState::new();
     let request_state = state.clone();
-    let service = service_fn(move |request| {
-        request_state.start_request();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let connection_use = request_state.start_request();
+        request.extensions_mut().insert(connection_use);
         let (response, state) = (handler(request), request_state.clone());
         async move {
             let response = response.await;
