policy, gateway: a stopping gateway accepts on an estimate only until callers can know of the stop

Cause: acceptance rested on the times of the latest complete answers.

Now a request is accepted if it ends in time whatever the servers do, since its deadline lies before the end; and on the estimate only for 2.8 s, until the load balancer has noticed (2.3 s) and the connections that it opened until then have brought their first request (0.5 s). An answer under way is a lower bound of the estimate. All others are refused at once, not run.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -35,6 +35,7 @@
 };
 
 use crate::GatewayError;
+use crate::drain::BALANCER_NOTICE_TIME;
 use crate::error::ListenSnafu;
 use crate::load_exchange::{
     receive_load_reports,
@@ -55,9 +56,6 @@
 use crate::tokens::token_exchange::exchange_tokens;
 use crate::versions::origin_store::write_origins;
 
-/// Time for which a draining gateway still accepts connections. The load balancer probes readiness
-/// once a second and stops sending requests after two probes that report not ready.
-const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_300);
 /// Time between the latest exit of the gateway and the SIGKILL at the end of the grace period.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(250);
 /// Time in which requests that the end of the grace period cuts log their ends.
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -10,6 +10,7 @@
 use policy::{
     AnswerEstimate,
     AnswerSample,
+    DrainDecision,
     DrainWindow,
     EngineStage,
     RouteRule, //
@@ -22,7 +23,10 @@
     RouteName,
     ServiceName, //
 };
-use web::ConnectionUse;
+use web::{
+    ConnectionUse,
+    FIRST_REQUEST_TIME, //
+};
 
 use crate::request_error::RequestError;
 use crate::shared::{
@@ -30,9 +34,19 @@
     GatewayState, //
 };
 
+/// Time for which a draining gateway still accepts connections. The load balancer probes readiness
+/// once a second and stops sending requests after two probes that report not ready.
+pub(crate) const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_300);
 /// Interval between checks whether a request has been sent to a backend server meanwhile.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Returns the window of a shutdown that starts now. A connection that the load balancer has opened until it
+/// notices may bring its first request a little later.
+pub(crate) fn start_window(grace_period: Duration) -> DrainWindow {
+    let notice_time = BALANCER_NOTICE_TIME + FIRST_REQUEST_TIME;
+    DrainWindow::new(Instant::now(), notice_time, grace_period)
+}
+
 /// What a decision about a request during the shutdown needs to know of it.
 pub(crate) struct DrainRequest<'a> {
     pub(crate) id: &'a str,
@@ -43,8 +57,7 @@
     pub(crate) connection_use: ConnectionUse,
 }
 
-/// Returns whether a request that arrives now is likely to be answered before the gateway ends, and logs
-/// why.
+/// Returns whether a request that arrives now is accepted, and logs why.
 pub(crate) fn accepts_request(shared: &GatewayShared, request: &DrainRequest<'_>) -> bool {
     let Some(window) = *shared.drain.borrow() else {
         return true;
@@ -52,16 +65,17 @@
     let now = Instant::now();
     let rule = request.rule;
     let estimate = estimate_answer(&shared.lock(), now, rule, request.output_tokens);
-    let is_accepted = window.accepts(now, &estimate);
-    let (decision, reason) = if is_accepted {
-        ("accepted", "request accepted while the gateway stops")
+    let decision = window.decide(now, request.deadline, &estimate);
+    let is_accepted = decision != DrainDecision::Refused;
+    let reason = if is_accepted {
+        "request accepted while the gateway stops"
     } else {
-        ("refused", "request refused, since the gateway stops")
+        "request refused, since the gateway stops"
     };
     let connection_use = request.connection_use.as_str();
     let decisions = &shared.metrics.drain_decisions;
     decisions
-        .with_label_values(&[decision, connection_use])
+        .with_label_values(&[decision.as_str(), connection_use])
         .inc();
     let until_deadline = request.deadline.saturating_duration_since(now);
     let record = describe(
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -52,6 +52,7 @@
     ConnectionPool, //
 };
 
+use crate::drain::start_window;
 use crate::metrics::GatewayMetrics;
 use crate::store::membership::HeldLeases;
 use crate::store::planner_lease::{
@@ -237,7 +238,7 @@
     /// Starts the graceful shutdown. Returns its grace period.
     pub(crate) fn start_drain(&self) -> Duration {
         let grace = self.lock().grace;
-        let window = DrainWindow::new(Instant::now(), grace);
+        let window = start_window(grace);
         self.drain.send_replace(Some(window));
         grace
     }
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -9,28 +9,68 @@
 /// Time before the end of the grace period by which answers must be complete.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Why a draining process accepts a request, or that it does not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DrainDecision {
+    /// The request ends before the process does, whatever the backend servers do: its deadline is sooner.
+    EndsInTime,
+    /// The answer is expected in time, and the caller could not know that the process drains.
+    Expected,
+    /// Neither holds.
+    Refused,
+}
+
+impl DrainDecision {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::EndsInTime => "ends_in_time",
+            Self::Expected => "expected",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Time in which a draining process answers the requests that it has, and others that it can still answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainWindow {
     /// When the drain started.
     pub since: Instant,
+    /// Until when requests come whose callers could not know of the drain.
+    pub unnoticed_until: Instant,
     /// When all answers have to be complete.
     pub answer_by: Instant,
 }
 
 impl DrainWindow {
-    /// Returns the window of a drain that starts now and ends with the grace period.
-    pub fn new(now: Instant, grace_period: Duration) -> Self {
+    /// Returns the window of a drain that starts now, is known to callers after `notice_time`, and ends with
+    /// the grace period.
+    pub fn new(now: Instant, notice_time: Duration, grace_period: Duration) -> Self {
         Self {
             since: now,
+            unnoticed_until: now + notice_time,
             answer_by: now + grace_period.saturating_sub(RESPONSE_MARGIN),
         }
     }
 
-    /// Returns whether a request that arrives now is answered in time. An answer that has begun and is cut
-    /// cannot be taken back, so that nearly all have to fit.
-    pub fn accepts(&self, now: Instant, estimate: &AnswerEstimate) -> bool {
-        now + estimate.longest <= self.answer_by
+    /// Decides on a request that arrives now and has to be answered by `deadline`. No estimate from earlier
+    /// answers holds while times rise, and an answer that has begun and is cut cannot be taken back: the
+    /// estimate decides only as long as callers cannot be spared the risk.
+    pub fn decide(
+        &self,
+        now: Instant,
+        deadline: Instant,
+        estimate: &AnswerEstimate,
+    ) -> DrainDecision {
+        if deadline <= self.answer_by {
+            return DrainDecision::EndsInTime;
+        }
+        let expected = estimate.longest.max(estimate.oldest_running);
+        if now < self.unnoticed_until && now + expected <= self.answer_by {
+            DrainDecision::Expected
+        } else {
+            DrainDecision::Refused
+        }
     }
 
     /// Returns when a request without an answer is given up. One that no backend server may have run, as
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -88,6 +88,7 @@
 pub use claim::body_digest;
 pub use cost::CostModel;
 pub use decode_speed::DecodeSpeed;
+pub use drain::DrainDecision;
 pub use drain::DrainGate;
 pub use drain::DrainWindow;
 pub use event_cursor::EventCursor;
--- a/crates/policy/tests/drains.rs
+++ b/crates/policy/tests/drains.rs
@@ -8,12 +8,15 @@
     AnswerEstimate,
     AnswerSample,
     AnswerTimes,
+    DrainDecision,
     DrainWindow, //
 };
 use tokio::time::Instant;
 use units::RouteName;
 
 const GRACE: Duration = Duration::from_secs(8);
+/// Time until callers know of the drain.
+const NOTICE_TIME: Duration = Duration::from_millis(2_800);
 /// Time of an answer on idle servers.
 const UNLOADED: Duration = Duration::from_millis(300);
 
@@ -25,6 +28,11 @@
     "question".parse().unwrap()
 }
 
+/// Returns whether a request whose caller waits for long is accepted on an estimate.
+fn expects(window: &DrainWindow, now: Instant, estimate: &AnswerEstimate) -> bool {
+    window.decide(now, now + Duration::from_secs(60), estimate) == DrainDecision::Expected
+}
+
 /// Records answers with the given times in milliseconds from arrival and from the first event to the end.
 fn answer_times(now: Instant, samples: &[(u64, u64)]) -> AnswerTimes {
     let mut times = AnswerTimes::default();
@@ -42,31 +50,91 @@
 #[test]
 fn accepts_queue_of_three_rounds() {
     let now = Instant::now();
-    let window = DrainWindow::new(now, GRACE);
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let estimate = answer_times(now, &[(9_600, 2_400); 20]).estimate(now, &route(), 3, UNLOADED);
     assert_eq!(estimate.longest, millis(9_600));
-    assert!(!window.accepts(now, &estimate));
+    assert!(!expects(&window, now, &estimate));
 }
 
 /// Guards against a queue that has grown since the latest answers.
 #[test]
 fn accepts_queue_grown_since() {
     let now = Instant::now();
-    let window = DrainWindow::new(now, GRACE);
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let times = answer_times(now, &[(2_500, 2_400); 20]);
-    assert!(window.accepts(now, &times.estimate(now, &route(), 0, UNLOADED)));
-    assert!(!window.accepts(now, &times.estimate(now, &route(), 3, UNLOADED)));
+    assert!(expects(
+        &window,
+        now,
+        &times.estimate(now, &route(), 0, UNLOADED)
+    ));
+    assert!(!expects(
+        &window,
+        now,
+        &times.estimate(now, &route(), 3, UNLOADED)
+    ));
 }
 
-/// Guards against short requests that are refused for what their route allows, or for how long the process
-/// has drained.
+/// Guards against short requests that are refused for what their route allows, while their callers cannot know
+/// of the drain, and against those that are accepted on an estimate when they can.
 #[test]
-fn accepts_short_answers() {
+fn decide_short_answers() {
     let now = Instant::now();
-    let window = DrainWindow::new(now, GRACE);
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let estimate = answer_times(now, &[(60, 60); 20]).estimate(now, &route(), 0, UNLOADED);
-    assert!(window.accepts(now + millis(7_000), &estimate));
-    assert!(!window.accepts(now + millis(7_460), &estimate));
+    assert!(expects(&window, now, &estimate));
+    assert!(expects(&window, now + millis(2_799), &estimate));
+    assert!(!expects(&window, now + millis(2_800), &estimate));
+    let short = DrainWindow::new(now, NOTICE_TIME, millis(1_500));
+    assert!(expects(&short, now + millis(700), &estimate));
+    assert!(!expects(&short, now + millis(960), &estimate));
+}
+
+/// Guards against requests that are refused, for how long the process has drained or for an estimate, although
+/// they end in time in any case, and against those that do not and are taken for such.
+#[test]
+fn decide_short_deadlines() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
+    let estimate = answer_times(now, &[(9_600, 2_400); 20]).estimate(now, &route(), 3, UNLOADED);
+    for (at, deadline, decision) in [
+        (100, 7_500, DrainDecision::EndsInTime),
+        (100, 7_501, DrainDecision::Refused),
+        (7_000, 7_500, DrainDecision::EndsInTime),
+        (7_400, 7_460, DrainDecision::EndsInTime),
+        (7_400, 7_560, DrainDecision::Refused),
+    ] {
+        let decided = window.decide(now + millis(at), now + millis(deadline), &estimate);
+        assert_eq!(decided, decision, "{at} ms, deadline at {deadline} ms");
+    }
+}
+
+/// Guards against an estimate from complete answers alone, which are the fast ones while times rise.
+#[test]
+fn decide_slow_answer_under_way() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
+    let mut times = answer_times(now, &[(300, 250); 40]);
+    let slow = now - millis(5_000);
+    times.start(&route(), slow);
+    times.start(&route(), slow);
+    let at = now + millis(1_500);
+    assert!(!expects(
+        &window,
+        at,
+        &times.estimate(at, &route(), 0, UNLOADED)
+    ));
+    times.finish(&route(), slow);
+    assert!(!expects(
+        &window,
+        at,
+        &times.estimate(at, &route(), 0, UNLOADED)
+    ));
+    times.finish(&route(), slow);
+    assert!(expects(
+        &window,
+        at,
+        &times.estimate(at, &route(), 0, UNLOADED)
+    ));
 }
 
 /// Guards against streams that are accepted since most end in time, and are cut if they are among the slow
@@ -74,32 +142,35 @@
 #[test]
 fn accepts_few_slow_streams() {
     let now = Instant::now();
-    let window = DrainWindow::new(now, GRACE);
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let mut samples = vec![(1_800, 1_700); 40];
     samples.push((4_300, 4_200));
     let estimate = answer_times(now, &samples).estimate(now, &route(), 0, UNLOADED);
-    assert!(window.accepts(now + millis(1_000), &estimate));
-    assert!(!window.accepts(now + millis(3_560), &estimate));
+    assert!(expects(&window, now + millis(1_000), &estimate));
+    assert!(!expects(&window, now + millis(3_560), &estimate));
+    let short = DrainWindow::new(now, NOTICE_TIME, millis(6_000));
+    assert!(expects(&short, now + millis(1_150), &estimate));
+    assert!(!expects(&short, now + millis(1_250), &estimate));
 }
 
 /// Guards against a process without recent answers that accepts nothing, or everything.
 #[test]
 fn accepts_without_samples() {
     let now = Instant::now();
-    let window = DrainWindow::new(now, GRACE);
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let old = answer_times(now, &[(9_600, 9_600)]);
     let now = now + Duration::from_secs(31);
     let estimate = old.estimate(now, &route(), 1, UNLOADED);
     assert_eq!(estimate.longest, 2 * UNLOADED);
     assert_eq!(estimate.least_run, Duration::ZERO);
-    assert!(!window.accepts(now, &estimate), "the window has passed");
+    assert!(!expects(&window, now, &estimate), "the window has passed");
 }
 
 /// Guards against a request that waits in the gateway until there is no time left to run it.
 #[test]
 fn give_up_at_not_run() {
     let now = Instant::now();
-    let window = DrainWindow::new(now, GRACE);
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let estimate = answer_times(now, &[(3_000, 2_400); 8]).estimate(now, &route(), 0, UNLOADED);
     let at = window.give_up_at(now - millis(200), false, &estimate);
     assert_eq!(at, now + millis(7_500 - 2_400));
@@ -110,7 +181,7 @@
 #[test]
 fn give_up_at_may_have_run() {
     let now = Instant::now();
-    let window = DrainWindow::new(now, GRACE);
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let mixed = [
         (500, 400),
         (600, 400),
--- a/crates/web/src/connection_state.rs
+++ b/crates/web/src/connection_state.rs
@@ -42,7 +42,7 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Time for the first request on a new connection during a shutdown.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+pub const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
 /// Place of a request among those on its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -29,6 +29,7 @@
 pub use connection::ConnectionPool;
 pub use connection::SendFailure;
 pub use connection_state::ConnectionUse;
+pub use connection_state::FIRST_REQUEST_TIME;
 pub use error::WebError;
 pub use error::is_malformed;
 pub use limits::ConnectionLimits;
