policy, gateway: a continuation begins with the next event of its stream

Cause: the answer to an attempt was judged by its head, and its body believed. An event without an id counted as new, and the end of a framed body as that of the stream.

Now the first thing of a continuation that reaches the caller is the event after the last one, with an id and nothing but fields. Old events and comments before it are dropped, anything else ends the attempt, and so does its end before such an event. That holds after a break, after a head without events and beside a silent engine. First answers and streams that callers take up themselves are forwarded as before: there the engine's own signature stands for the whole answer.

A stream that breaks off between its last event and its end is now broken off for the caller too.

--- a/crates/gateway/src/streams/standby.rs
+++ b/crates/gateway/src/streams/standby.rs
@@ -15,20 +15,21 @@
 use crate::streams::stream_attempt::{
     StreamAttempt,
     check_stream,
+    event_error_name,
     record_failed_attempt, //
 };
 
 /// Another attempt that goes on with a stream.
 pub(crate) struct StandbyStream {
     pub(crate) attempt: StreamAttempt,
-    /// Events of the attempt that follow those of the stream; empty if the attempt has only its end.
+    /// Events of the attempt that follow those of the stream.
     pub(crate) events: Bytes,
     /// Position of the attempt.
     pub(crate) cursor: EventCursor,
 }
 
 /// Opens an attempt that goes on where `cursor` stands, and waits until its engine has sent the next
-/// event or the end of the stream.
+/// event.
 pub(crate) async fn open_standby(
     context: &Arc<RequestContext>,
     history: &mut AttemptHistory,
@@ -57,7 +58,8 @@
     }
 }
 
-/// Reads the first events that are new to the caller. Returns none if the stream is at its end.
+/// Reads the first events that are new to the caller. The end of a body without any is not that of the
+/// stream, as far as is known.
 async fn read_next_event(
     context: &RequestContext,
     attempt: &mut StreamAttempt,
@@ -65,15 +67,14 @@
 ) -> Result<Bytes, &'static str> {
     loop {
         let Some(bytes) = attempt.next_bytes().await? else {
-            // The end of a body of unknown length may be that of its engine.
-            return if cursor.is_mid_event() || !attempt.metadata.is_framed {
-                Err("ended_mid_event")
+            return Err(if cursor.is_mid_event() {
+                "ended_mid_event"
             } else {
-                Ok(Bytes::new())
-            };
+                "not_continued"
+            });
         };
         attempt.record_bytes(context);
-        let events = cursor.push(&bytes).map_err(|_| "events_out_of_order")?;
+        let events = cursor.push(&bytes).map_err(event_error_name)?;
         if !events.is_empty() {
             return Ok(events);
         }
--- a/crates/gateway/src/streams/stream_attempt.rs
+++ b/crates/gateway/src/streams/stream_attempt.rs
@@ -4,7 +4,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::ResponseMetadata;
-use policy::AttemptOutcome;
+use policy::{
+    AttemptOutcome,
+    EventError, //
+};
 use tokio::time::Instant;
 use units::{
     InstanceId,
@@ -80,6 +83,14 @@
     }
 }
 
+/// Returns the name in logs of the reason why the events of an attempt do not fit their stream.
+pub(crate) fn event_error_name(error: EventError) -> &'static str {
+    match error {
+        EventError::TooLong | EventError::Gap { .. } => "events_out_of_order",
+        EventError::NotContinued => "not_continued",
+    }
+}
+
 /// Records that the stream of an attempt ended early or was given up for another one.
 pub(crate) fn record_failed_attempt(context: &RequestContext, instance: &InstanceId, reason: &str) {
     let outcome = AttemptOutcome::ConnectionBroken;
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -29,6 +29,7 @@
 use crate::streams::stream_attempt::{
     StreamAttempt,
     check_stream,
+    event_error_name,
     record_failed_attempt, //
 };
 use crate::streams::stream_timing::StreamTiming;
@@ -157,6 +158,9 @@
                 Ok(None) if self.cursor.is_mid_event() => {
                     return self.fail(instance, "ended_mid_event");
                 }
+                Ok(None) if !self.cursor.has_continued() => {
+                    return self.fail(instance, "not_continued");
+                }
                 Ok(None) if self.has_ended_with_server(&attempt).await => {
                     return self.fail(instance, "server_ended");
                 }
@@ -167,8 +171,9 @@
                 Ok(Some(bytes)) => bytes,
             };
             attempt.record_bytes(&self.context);
-            let Ok(events) = self.cursor.push(&bytes) else {
-                return self.fail(instance, "events_out_of_order");
+            let events = match self.cursor.push(&bytes) {
+                Ok(events) => events,
+                Err(error) => return self.fail(instance, event_error_name(error)),
             };
             if !events.is_empty() {
                 answer.record_events();
--- a/crates/policy/src/event_cursor.rs
+++ b/crates/policy/src/event_cursor.rs
@@ -16,6 +16,8 @@
 pub enum EventError {
     /// An event, or the events without an id after one with an id, exceed the maximum length.
     TooLong,
+    /// The bytes before the next event of a continuation belong to no stream.
+    NotContinued,
     /// An event id does not follow the previous one by the step of this stream.
     Gap {
         /// Id of the last forwarded event.
@@ -39,6 +41,8 @@
     unnumbered_bytes: usize,
     last_id: Option<u64>,
     id_step: Option<u64>,
+    /// Whether the attempt continues the stream and its first new event has not arrived.
+    awaits_next: bool,
 }
 
 impl EventCursor {
@@ -60,12 +64,19 @@
         !self.pending.is_empty()
     }
 
-    /// Discards the incomplete event of the previous attempt.
+    /// Discards the incomplete event of the previous attempt. What follows has to continue the stream.
     pub fn start_attempt(&mut self) {
+        self.awaits_next = true;
         self.pending.clear();
         (self.line_start, self.searched) = (0, 0);
     }
 
+    /// Returns whether the attempt has shown that it continues the stream. The end of one that has not may
+    /// be that of any response.
+    pub fn has_continued(&self) -> bool {
+        !self.awaits_next
+    }
+
     /// Parses bytes of the current attempt and returns the complete events that were not forwarded
     /// before.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
@@ -82,7 +93,15 @@
             if self.unnumbered_bytes > UNNUMBERED_LIMIT_BYTES {
                 return Err(EventError::TooLong);
             }
-            if self.advance(id)? {
+            if self.awaits_next && !continues_stream(id, &event) {
+                return Err(EventError::NotContinued);
+            }
+            let is_new = self.advance(id)?;
+            if self.awaits_next && (id.is_none() || !is_new) {
+                continue;
+            }
+            self.awaits_next = false;
+            if is_new {
                 new_events.extend_from_slice(&event);
             }
         }
@@ -132,6 +151,25 @@
     }
 }
 
+/// Returns whether an event can come before or be the next one of a stream that goes on: one with an id and
+/// nothing but fields, or comments alone.
+fn continues_stream(id: Option<u64>, event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let is_blank = line.is_empty() || line.starts_with(b":");
+        is_blank || (id.is_some() && is_field(line))
+    })
+}
+
+/// Returns whether a line is a field of an event. The names of fields are in lowercase.
+fn is_field(line: &[u8]) -> bool {
+    let mut parts = line.splitn(2, |byte| *byte == b':');
+    let name = parts.next().unwrap_or_default();
+    let is_name = |byte: &u8| byte.is_ascii_lowercase() || *byte == b'-';
+    !name.is_empty() && name.iter().all(is_name) && parts.next().is_some()
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let found = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"));
--- a/crates/policy/tests/events.rs
+++ b/crates/policy/tests/events.rs
@@ -123,3 +123,37 @@
     // A search from the start takes minutes.
     assert!(started.elapsed() < std::time::Duration::from_secs(2));
 }
+
+/// Guards against the text of an error in the middle of a stream: what comes before the next event of a
+/// continuation belongs to no stream, unless it carries nothing.
+#[test]
+fn push_continuation_without_id() {
+    for text in [
+        "data: {\"error\":1}\n\n",
+        "HTTP/1.1 500 X\r\nserver: x\r\n\r\n",
+        "HTTP/1.1 500 X\r\nserver: x\r\nid: 5\ndata: token-5\n\n",
+        "Server: x\nid: 5\n\n",
+    ] {
+        let mut cursor = EventCursor::after(None);
+        cursor.push(events(1..=4).as_bytes()).unwrap();
+        cursor.start_attempt();
+        let pushed = cursor.push(text.as_bytes());
+        assert_eq!(pushed, Err(EventError::NotContinued), "{text:?}");
+    }
+}
+
+/// Guards against an answer without the next event that ends a stream as if it were complete.
+#[test]
+fn has_continued_until_next_event() {
+    let mut cursor = EventCursor::after(None);
+    cursor.push(events(1..=4).as_bytes()).unwrap();
+    assert!(cursor.has_continued());
+    cursor.start_attempt();
+    assert!(!cursor.has_continued());
+    let repeated = format!(": note\n\n{}", events(3..=4));
+    assert!(cursor.push(repeated.as_bytes()).unwrap().is_empty());
+    assert!(!cursor.has_continued());
+    let versioned = "x-galenarail-weight-versions: 2\nid: 5\ndata: a\n\ndata: done\n\n";
+    assert_eq!(cursor.push(versioned.as_bytes()).unwrap(), versioned);
+    assert!(cursor.has_continued());
+}
