policy: an event that is not forwarded is not counted, and a continuation has no gap after one event

An engine sends a good event and one after a gap in the same bytes: the good one was dropped with the error, but the next engine was asked to go on after it, so that the stream ended as complete without it. And after a single event the step of the ids was taken from the continuation itself, so that event 6 could follow event 1.

The cursor goes back to the last event that was returned; while the step is unknown, a continuation has to begin with the next id.

--- a/crates/policy/src/event_cursor.rs
+++ b/crates/policy/src/event_cursor.rs
@@ -29,7 +29,8 @@
 
 /// Forwards each complete event once, in the order of the event ids.
 ///
-/// Ids increase by a constant step, which is taken from the first two ids of the stream.
+/// Ids increase by a constant step, which is taken from the first two ids of the stream, or is 1 if the
+/// stream goes on elsewhere after the first.
 #[derive(Debug, Clone, Default)]
 pub struct EventCursor {
     pending: BytesMut,
@@ -78,8 +79,17 @@
     }
 
     /// Parses bytes of the current attempt and returns the complete events that were not forwarded
-    /// before.
+    /// before. An error leaves the cursor after the last event that was returned.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
+        let (last_id, id_step) = (self.last_id, self.id_step);
+        let result = self.push_events(data);
+        if result.is_err() {
+            (self.last_id, self.id_step) = (last_id, id_step);
+        }
+        result
+    }
+
+    fn push_events(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         self.pending.extend_from_slice(data);
         let mut new_events = BytesMut::new();
         while let Some(length) = self.first_event_length() {
@@ -142,7 +152,9 @@
         if found <= last {
             return Ok(false);
         }
-        let step = *self.id_step.get_or_insert(found - last);
+        // Nothing of a continuation can show another step: its first event could follow a gap.
+        let default_step = if self.awaits_next { 1 } else { found - last };
+        let step = *self.id_step.get_or_insert(default_step);
         if found - last != step {
             return Err(EventError::Gap { last, found });
         }
--- a/crates/policy/tests/events.rs
+++ b/crates/policy/tests/events.rs
@@ -157,3 +157,28 @@
     assert_eq!(cursor.push(versioned.as_bytes()).unwrap(), versioned);
     assert!(cursor.has_continued());
 }
+
+/// Guards against events that are counted as forwarded although an error later in the same bytes drops them, so
+/// that the stream goes on after them.
+#[test]
+fn push_gap_after_good_event() {
+    let mut cursor = EventCursor::after(None);
+    cursor.push(events(1..=4).as_bytes()).unwrap();
+    cursor.start_attempt();
+    let text = format!("{}{}", event(5), event(9));
+    assert!(cursor.push(text.as_bytes()).is_err());
+    assert_eq!(cursor.last_id(), Some(4));
+    cursor.start_attempt();
+    let rest = events(5..=6);
+    assert_eq!(cursor.push(rest.as_bytes()).unwrap(), rest);
+}
+
+/// Guards against a gap after the only event before a break.
+#[test]
+fn push_continuation_after_one_event() {
+    let mut cursor = EventCursor::after(None);
+    cursor.push(event(1).as_bytes()).unwrap();
+    cursor.start_attempt();
+    let error = cursor.push(event(6).as_bytes());
+    assert_eq!(error, Err(EventError::Gap { last: 1, found: 6 }));
+}
