policy, gateway: a request whose deadline ends it in time is not given up by a stop

A stopping gateway accepts a request whose deadline lies before its end, and gave it up at once (502, or 503 before it was sent) if earlier answers of the route took longer: give_up_at knew nothing of the deadline.

Such a request is left to its deadline now. Beside it: an answer counts as under way until it ends; it counted until checks after an answer without a frame had ended (0.5 s and more).

The assertions of the other tests of give_up_at are as before, with a caller that waits for long.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -52,6 +52,7 @@
     pub(crate) id: &'a str,
     pub(crate) rule: &'a RouteRule,
     pub(crate) output_tokens: u32,
+    pub(crate) arrived: Instant,
     /// When its answer has to be complete at the latest, for the caller and the route.
     pub(crate) deadline: Instant,
     pub(crate) connection_use: ConnectionUse,
@@ -129,17 +130,18 @@
 /// whether a backend server may have run the request.
 pub(crate) async fn give_up(
     shared: &GatewayShared,
-    id: &str,
-    rule: &RouteRule,
-    arrived: Instant,
+    request: &DrainRequest<'_>,
     may_have_run: impl Fn() -> bool,
 ) -> RequestError {
     let window = await_drain(shared).await;
     loop {
         let now = Instant::now();
-        let estimate = estimate_answer(&shared.lock(), now, rule, 0);
+        let estimate = estimate_answer(&shared.lock(), now, request.rule, 0);
         let has_run = may_have_run();
-        let at = window.give_up_at(arrived, has_run, &estimate);
+        let (arrived, deadline) = (request.arrived, request.deadline);
+        let Some(at) = window.give_up_at(arrived, deadline, has_run, &estimate) else {
+            return std::future::pending().await;
+        };
         if now < at {
             sleep_until(at.min(now + CHECK_INTERVAL)).await;
             continue;
@@ -147,7 +149,7 @@
         let reason = "request given up, since the gateway ends before it can be answered";
         let record = DecisionRecord::new(DecisionKind::Finish, reason);
         let record = describe(record, &window, now, &estimate)
-            .request(id)
+            .request(request.id)
             .input("may_have_run", has_run);
         shared.log.write(record);
         return if has_run {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -48,7 +48,6 @@
     SuspectId, //
 };
 
-use crate::drain::RunningAnswer;
 use crate::request_error::RequestError;
 use crate::shared::GatewayShared;
 use crate::suspects::crash_suspects::CrashWitness;
@@ -86,8 +85,6 @@
     pub(crate) metadata: RequestMetadata,
     /// When the request arrived.
     pub(crate) started: Instant,
-    /// Counts the answer as under way.
-    pub(crate) _answer: RunningAnswer,
     /// End of the caller's or the route's timeout, whichever is shorter, less a margin for an error
     /// response of the gateway.
     pub(crate) deadline: Instant,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -140,6 +140,7 @@
         id: &id,
         rule: &rule,
         output_tokens: metadata.max_output_tokens.0,
+        arrived: started,
         deadline,
         connection_use: connection_use.unwrap_or(ConnectionUse::First),
     };
@@ -148,11 +149,12 @@
     }
     let body = tokio::select! {
         body = read_request_body(shared, body, &table, deadline) => body?,
-        error = give_up(shared, &id, &rule, started, || false) => return Err(error),
+        error = give_up(shared, &request, || false) => return Err(error),
     };
     let service = rule.choose_service(&metadata.request_id).clone();
     shared.credit_retry_budget(&service);
     let fingerprint = request_fingerprint(&head.method, head.uri.path(), &body);
+    let answer = RunningAnswer::start(shared, &rule.name, started);
     let context = Arc::new(RequestContext {
         shared: shared.clone(),
         service,
@@ -166,8 +168,7 @@
         metadata,
         started,
         deadline,
-        _answer: RunningAnswer::start(shared, &rule.name, started),
-        rule,
+        rule: rule.clone(),
         trial_crashes: Mutex::default(),
         may_have_run: AtomicBool::new(false),
     });
@@ -176,7 +177,7 @@
     }
     let serving = async {
         if context.rule.kind.is_stream() {
-            serve_generation(context.clone()).await
+            serve_generation(context.clone(), answer).await
         } else {
             serve_plain(&context).await
         }
@@ -186,7 +187,7 @@
         result = timeout_at(deadline, serving) => {
             result.unwrap_or(Err(RequestError::DeadlineExceeded))
         }
-        error = give_up(shared, &id, &context.rule, started, may_have_run) => Err(error),
+        error = give_up(shared, &request, may_have_run) => Err(error),
     }
 }
 
--- a/crates/gateway/src/streams/forward.rs
+++ b/crates/gateway/src/streams/forward.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::attempt::AttemptError;
+use crate::drain::RunningAnswer;
 use crate::request::{
     AttemptHistory,
     RequestContext, //
@@ -37,6 +38,7 @@
     context: Arc<RequestContext>,
     mut stream: OpenStream,
     history: AttemptHistory,
+    answer: RunningAnswer,
 ) -> Result<Response<ResponseBody>, RequestError> {
     if check_stream(&stream.response).is_err() {
         return forward_error(&context, stream).await;
@@ -51,6 +53,7 @@
         context,
         chunks,
         history,
+        _answer: answer,
     };
     tokio::spawn(forwarder.forward_stream(StreamAttempt::new(stream)));
     Ok(Response::from_parts(head, response_body))
--- a/crates/gateway/src/streams/generation.rs
+++ b/crates/gateway/src/streams/generation.rs
@@ -34,6 +34,7 @@
     AttemptError,
     OpenResponse, //
 };
+use crate::drain::RunningAnswer;
 use crate::latency::ServerStage;
 use crate::request::{
     AttemptHistory,
@@ -81,6 +82,7 @@
 /// Serves a request whose response is a stream.
 pub(crate) async fn serve_generation(
     context: Arc<RequestContext>,
+    answer: RunningAnswer,
 ) -> Result<Response<ResponseBody>, RequestError> {
     let version = find_version(&context).await.ok_or_else(|| {
         let spread = VERSION_RETRY_DELAY.mul_f64(rand::random());
@@ -100,7 +102,7 @@
         .metrics
         .latencies
         .observe_answer(&context.rule, elapsed);
-    start_forwarding(context, stream, history).await
+    start_forwarding(context, stream, history, answer).await
 }
 
 /// Prefills the prompt where it is expected to finish first, and opens the stream on a decode
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -18,7 +18,10 @@
 };
 use web::BodySender;
 
-use crate::drain::record_answer;
+use crate::drain::{
+    RunningAnswer,
+    record_answer, //
+};
 use crate::request::{
     AttemptHistory,
     RequestContext, //
@@ -71,6 +74,8 @@
     pub(crate) history: AttemptHistory,
     pub(crate) cursor: EventCursor,
     pub(crate) timing: StreamTiming,
+    /// Counts the stream as under way.
+    pub(crate) _answer: RunningAnswer,
 }
 
 impl StreamForwarder {
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -73,24 +73,28 @@
         }
     }
 
-    /// Returns when a request without an answer is given up. One that no backend server may have run, as
-    /// soon as there is too little time left to run it. Another one at the end, or at the start of the drain
-    /// if nearly all answers would come too late for it.
+    /// Returns when a request without an answer is given up, or `None` if its deadline ends it before. One
+    /// that no backend server may have run, as soon as there is too little time left to run it. Another one
+    /// at the end, or at the start of the drain if nearly all answers would come too late for it.
     pub fn give_up_at(
         &self,
         arrived: Instant,
+        deadline: Instant,
         may_have_run: bool,
         estimate: &AnswerEstimate,
-    ) -> Instant {
+    ) -> Option<Instant> {
+        if deadline <= self.answer_by {
+            return None;
+        }
         if !may_have_run {
             let time_left = self.answer_by.saturating_duration_since(self.since);
-            return self.since + time_left.saturating_sub(estimate.least_run);
+            return Some(self.since + time_left.saturating_sub(estimate.least_run));
         }
-        if arrived + estimate.least_total > self.answer_by {
+        Some(if arrived + estimate.least_total > self.answer_by {
             self.since
         } else {
             self.answer_by
-        }
+        })
     }
 }
 
--- a/crates/policy/tests/drains.rs
+++ b/crates/policy/tests/drains.rs
@@ -30,7 +30,12 @@
 
 /// Returns whether a request whose caller waits for long is accepted on an estimate.
 fn expects(window: &DrainWindow, now: Instant, estimate: &AnswerEstimate) -> bool {
-    window.decide(now, now + Duration::from_secs(60), estimate) == DrainDecision::Expected
+    window.decide(now, far(now), estimate) == DrainDecision::Expected
+}
+
+/// Returns the deadline of a caller that waits for long.
+fn far(now: Instant) -> Instant {
+    now + Duration::from_secs(60)
 }
 
 /// Records answers with the given times in milliseconds from arrival and from the first event to the end.
@@ -172,8 +177,8 @@
     let now = Instant::now();
     let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
     let estimate = answer_times(now, &[(3_000, 2_400); 8]).estimate(now, &route(), 0, UNLOADED);
-    let at = window.give_up_at(now - millis(200), false, &estimate);
-    assert_eq!(at, now + millis(7_500 - 2_400));
+    let at = window.give_up_at(now - millis(200), far(now), false, &estimate);
+    assert_eq!(at, Some(now + millis(7_500 - 2_400)));
 }
 
 /// Guards against running requests that are given up for a pessimistic guess, and against those in a queue
@@ -190,11 +195,37 @@
         (9_000, 400),
     ];
     let estimate = answer_times(now, &mixed).estimate(now, &route(), 0, UNLOADED);
-    assert_eq!(window.give_up_at(now, true, &estimate), window.answer_by);
+    assert_eq!(
+        window.give_up_at(now, far(now), true, &estimate),
+        Some(window.answer_by)
+    );
     let estimate = answer_times(now, &[(9_600, 2_400); 20]).estimate(now, &route(), 3, UNLOADED);
-    assert_eq!(window.give_up_at(now - millis(500), true, &estimate), now);
+    assert_eq!(
+        window.give_up_at(now - millis(500), far(now), true, &estimate),
+        Some(now)
+    );
     let early = now - millis(3_000);
-    assert_eq!(window.give_up_at(early, true, &estimate), window.answer_by);
+    assert_eq!(
+        window.give_up_at(early, far(now), true, &estimate),
+        Some(window.answer_by)
+    );
+}
+
+/// Guards against requests that are accepted since they end in time in any case and are given up at once.
+#[test]
+fn give_up_at_short_deadline() {
+    let now = Instant::now();
+    let window = DrainWindow::new(now, NOTICE_TIME, GRACE);
+    let estimate = answer_times(now, &[(3_000, 2_400); 8]).estimate(now, &route(), 0, UNLOADED);
+    for at in [millis(0), millis(4_600), millis(7_000)] {
+        let arrived = now + at;
+        let decision = window.decide(arrived, window.answer_by, &estimate);
+        assert_eq!(decision, DrainDecision::EndsInTime);
+        for may_have_run in [false, true] {
+            let given_up = window.give_up_at(arrived, window.answer_by, may_have_run, &estimate);
+            assert_eq!(given_up, None, "{at:?}");
+        }
+    }
 }
 
 /// Guards against a table that grows with the routes that come and go.
