gateway: a plain answer without a length is not whole if its server has ended with it

Streams have waited for the question whether their process still runs since; answers that are read whole were asked about after they had gone out.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -53,6 +53,10 @@
     has_crash_evidence,
     record_crash, //
 };
+use crate::suspects::unframed_end::{
+    UNFRAMED_CAUSE,
+    has_ended_with_response, //
+};
 use crate::tokens::server_limits::{
     LimitQuestion,
     record_stated_limit, //
@@ -361,6 +365,12 @@
         }
         Ok(bytes) => bytes,
     };
+    let is_framed = response.metadata.is_framed;
+    if !is_framed && has_ended_with_response(context, instance).await {
+        let witness = context.witness();
+        record_crash(&context.shared, &witness, instance, UNFRAMED_CAUSE);
+        return Err(AttemptError::Unsure("answer_cut"));
+    }
     release_connection(&context.shared, response.connection, &response.metadata);
     Ok(CompleteResponse {
         http: Response::from_parts(head, bytes),
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -38,7 +38,7 @@
 use crate::streams::stream_timing::StreamTiming;
 use crate::suspects::answer_watch::AnswerWatch;
 use crate::suspects::unframed_end::{
-    has_ended_with_stream,
+    has_ended_with_response,
     record_stream_end, //
 };
 use crate::versions::origin_lookup::record_first_event;
@@ -191,7 +191,8 @@
 
     /// Returns whether the end of a body without a length or chunks is that of its server.
     async fn has_ended_with_server(&self, attempt: &StreamAttempt) -> bool {
-        !attempt.metadata.is_framed && has_ended_with_stream(&self.context, &attempt.instance).await
+        !attempt.metadata.is_framed
+            && has_ended_with_response(&self.context, &attempt.instance).await
     }
 
     fn fail(&self, instance: InstanceId, reason: &'static str) -> StreamEnd {
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -37,21 +37,24 @@
 /// Time after that in which a busy server sends something, so that a probe is not needed.
 const LIVENESS_TIME: Duration = Duration::from_millis(200);
 
-/// Timeout of a probe for which the end of a stream waits.
-const STREAM_PROBE_TIMEOUT: Duration = Duration::from_millis(20);
+/// Timeout of a probe for which the end of a response waits.
+const RESPONSE_PROBE_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-const UNFRAMED_CAUSE: &str = "backend server ended with a response of unknown length";
+pub(crate) const UNFRAMED_CAUSE: &str = "backend server ended with a response of unknown length";
 
-/// Waits a moment for the question whether the server of a stream of unknown length has ended with it.
+/// Waits a moment for the question whether the server of a response of unknown length has ended with it.
 /// Returns false if that is not known by then.
-pub(crate) async fn has_ended_with_stream(context: &RequestContext, instance: &InstanceId) -> bool {
+pub(crate) async fn has_ended_with_response(
+    context: &RequestContext,
+    instance: &InstanceId,
+) -> bool {
     let shared = &context.shared;
     let incarnation = incarnation_of(shared, instance);
     sleep(FIRST_PROBE_DELAY).await;
-    let probing = probe_process(shared, instance, incarnation, STREAM_PROBE_TIMEOUT);
+    let probing = probe_process(shared, instance, incarnation, RESPONSE_PROBE_TIMEOUT);
     probing.await == Some(ProcessState::Ended)
 }
 
@@ -71,7 +74,7 @@
     }
 }
 
-/// Records the end of a stream after [`has_ended_with_stream`].
+/// Records the end of a stream after [`has_ended_with_response`].
 pub(crate) fn record_stream_end(
     context: &Arc<RequestContext>,
     instance: &InstanceId,
