gateway: a server whose entry is gone is asked whether it has ended

Callers got streams without a length cut at their whole end (server_ended) when their server's entry had been removed meanwhile; and a request that three leaving servers had answered whole was refused as one that crashes servers (503 kept_out, Retry-After 599).

Cause: the check whether the server of a response of unknown length has ended with it took a missing entry for an ended process. Servers that leave without saying so serve on after their entry is gone.

Without an entry, the probe goes to the address to which the request was sent.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -35,7 +35,10 @@
 use crate::servers::in_flight::InFlightGuard;
 use crate::shared::GatewayState;
 use crate::suspects::crash_suspects::check_suspect;
-use crate::suspects::unframed_end::record_response_end;
+use crate::suspects::unframed_end::{
+    ResponseServer,
+    record_response_end, //
+};
 use crate::tokens::token_ticket::TokenTicket;
 use crate::tokens::token_wait::select_with_token;
 
@@ -100,9 +103,13 @@
                 record_answer(&context.shared, &context.rule, AnswerSample { total, run });
                 let is_success = response.http.status().is_success();
                 let is_framed = response.metadata.is_framed;
+                let server = ResponseServer {
+                    instance: instance.clone(),
+                    address,
+                };
                 record_response_end(
                     context,
-                    &instance,
+                    server,
                     is_framed,
                     is_success && response.metadata.is_signed,
                 );
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -54,6 +54,7 @@
     record_crash, //
 };
 use crate::suspects::unframed_end::{
+    ResponseServer,
     UNFRAMED_CAUSE,
     has_ended_with_response, //
 };
@@ -365,8 +366,11 @@
         }
         Ok(bytes) => bytes,
     };
-    let is_framed = response.metadata.is_framed;
-    if !is_framed && has_ended_with_response(context, instance).await {
+    let server = ResponseServer {
+        instance: instance.clone(),
+        address: response.connection.address(),
+    };
+    if !response.metadata.is_framed && has_ended_with_response(context, &server).await {
         let witness = context.witness();
         record_crash(&context.shared, &witness, instance, UNFRAMED_CAUSE);
         return Err(AttemptError::Unsure("answer_cut"));
--- a/crates/gateway/src/streams/stream_attempt.rs
+++ b/crates/gateway/src/streams/stream_attempt.rs
@@ -23,6 +23,7 @@
 use crate::servers::in_flight::InFlightGuard;
 use crate::streams::generation::OpenStream;
 use crate::suspects::crash_suspects::record_crash;
+use crate::suspects::unframed_end::ResponseServer;
 
 /// Body of one attempt, with the load that the attempt puts on its engine.
 pub(crate) struct StreamAttempt {
@@ -50,6 +51,14 @@
         }
     }
 
+    /// Returns the server that sends the response.
+    pub(crate) fn server(&self) -> ResponseServer {
+        ResponseServer {
+            instance: self.instance.clone(),
+            address: self.connection.address(),
+        }
+    }
+
     /// Returns the next bytes, `None` at the end of the body, or why the body ended early. Nothing is
     /// lost if the future is dropped.
     pub(crate) async fn next_bytes(&mut self) -> Result<Option<Bytes>, &'static str> {
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -192,7 +192,7 @@
     /// Returns whether the end of a body without a length or chunks is that of its server.
     async fn has_ended_with_server(&self, attempt: &StreamAttempt) -> bool {
         !attempt.metadata.is_framed
-            && has_ended_with_response(&self.context, &attempt.instance).await
+            && has_ended_with_response(&self.context, &attempt.server()).await
     }
 
     fn fail(&self, instance: InstanceId, reason: &'static str) -> StreamEnd {
@@ -232,7 +232,7 @@
         let context = &self.context;
         record_decode_speed(context, &attempt.instance, attempt.started);
         let is_framed = attempt.metadata.is_framed;
-        record_stream_end(context, &attempt.instance, is_framed);
+        record_stream_end(context, attempt.server(), is_framed);
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
     }
 
--- a/crates/gateway/src/suspects/server_process.rs
+++ b/crates/gateway/src/suspects/server_process.rs
@@ -14,6 +14,7 @@
     InstanceId, //
 };
 
+use crate::request::RequestContext;
 use crate::servers::server_notices::record_notices;
 use crate::shared::{
     GatewayShared,
@@ -51,6 +52,19 @@
         }
     }
 
+    /// Returns where to probe the server that answered a request, whose entry is gone: it leaves as planned and
+    /// may still run.
+    pub(crate) fn without_entry(context: &RequestContext, address: SocketAddr) -> Self {
+        let state = context.shared.lock();
+        let services = state.table.as_ref().map(|table| &table.services);
+        let service = services.and_then(|services| services.get(&context.service));
+        let service = service.filter(|_| !context.rule.kind.is_stream());
+        Self {
+            address,
+            health_path: service.map(|service| service.health_path.clone()),
+        }
+    }
+
     /// Asks a backend server for its state, and returns the answer.
     pub(crate) async fn probe(
         &self,
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -1,5 +1,6 @@
 //! Responses whose end is the end of their connection: complete, or cut by the end of their server.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
     record_crash, //
 };
 use crate::suspects::server_process::{
+    ProbeTarget,
     ProcessState,
     find_process,
     process_state, //
@@ -45,16 +47,23 @@
 
 pub(crate) const UNFRAMED_CAUSE: &str = "backend server ended with a response of unknown length";
 
+/// The server that has sent a response.
+#[derive(Debug, Clone)]
+pub(crate) struct ResponseServer {
+    pub(crate) instance: InstanceId,
+    /// Where the request was sent.
+    pub(crate) address: SocketAddr,
+}
+
 /// Waits a moment for the question whether the server of a response of unknown length has ended with it.
 /// Returns false if that is not known by then.
 pub(crate) async fn has_ended_with_response(
     context: &RequestContext,
-    instance: &InstanceId,
+    server: &ResponseServer,
 ) -> bool {
-    let shared = &context.shared;
-    let incarnation = incarnation_of(shared, instance);
+    let incarnation = incarnation_of(&context.shared, &server.instance);
     sleep(FIRST_PROBE_DELAY).await;
-    let probing = probe_process(shared, instance, incarnation, RESPONSE_PROBE_TIMEOUT);
+    let probing = probe_process(context, server, incarnation, RESPONSE_PROBE_TIMEOUT);
     probing.await == Some(ProcessState::Ended)
 }
 
@@ -62,13 +71,12 @@
 /// length was complete, or its server ended with it, is found out in the background.
 pub(crate) fn record_response_end(
     context: &Arc<RequestContext>,
-    instance: &InstanceId,
+    server: ResponseServer,
     is_framed: bool,
     is_success: bool,
 ) {
     if !is_framed {
-        let (context, instance) = (context.clone(), instance.clone());
-        tokio::spawn(check_unframed_end(context, instance, is_success));
+        tokio::spawn(check_unframed_end(context.clone(), server, is_success));
     } else if is_success {
         record_completed(context);
     }
@@ -77,46 +85,52 @@
 /// Records the end of a stream after [`has_ended_with_response`].
 pub(crate) fn record_stream_end(
     context: &Arc<RequestContext>,
-    instance: &InstanceId,
+    server: ResponseServer,
     is_framed: bool,
 ) {
     if is_framed {
         return record_completed(context);
     }
-    let (context, instance) = (context.clone(), instance.clone());
+    let context = context.clone();
     let ended_at = Instant::now();
     tokio::spawn(async move {
-        let incarnation = incarnation_of(&context.shared, &instance);
-        let state = settle_state(&context.shared, &instance, incarnation, ended_at).await;
-        record_state(&context, &instance, state, true);
+        let incarnation = incarnation_of(&context.shared, &server.instance);
+        let state = settle_state(&context, &server, incarnation, ended_at).await;
+        record_state(&context, &server.instance, state, true);
     });
 }
 
-async fn check_unframed_end(context: Arc<RequestContext>, instance: InstanceId, is_success: bool) {
-    let shared = &context.shared;
-    let incarnation = incarnation_of(shared, &instance);
+async fn check_unframed_end(
+    context: Arc<RequestContext>,
+    server: ResponseServer,
+    is_success: bool,
+) {
+    let incarnation = incarnation_of(&context.shared, &server.instance);
     let ended_at = Instant::now();
     sleep(FIRST_PROBE_DELAY).await;
-    let mut state = probe_process(shared, &instance, incarnation, PROBE_TIMEOUT).await;
+    let mut state = probe_process(&context, &server, incarnation, PROBE_TIMEOUT).await;
     if state != Some(ProcessState::Ended) {
-        state = settle_state(shared, &instance, incarnation, ended_at).await;
+        state = settle_state(&context, &server, incarnation, ended_at).await;
     }
-    record_state(&context, &instance, state, is_success);
+    record_state(&context, &server.instance, state, is_success);
 }
 
 /// Returns the state of a process once it would no longer answer if it had ended with its response.
 async fn settle_state(
-    shared: &GatewayShared,
-    instance: &InstanceId,
+    context: &RequestContext,
+    server: &ResponseServer,
     incarnation: Option<IncarnationId>,
     ended_at: Instant,
 ) -> Option<ProcessState> {
     let settled_at = ended_at + SURVIVAL_TIME;
     sleep_until(settled_at + LIVENESS_TIME).await;
-    if shared.has_shown_liveness(instance, settled_at) {
+    if context
+        .shared
+        .has_shown_liveness(&server.instance, settled_at)
+    {
         return Some(ProcessState::Running);
     }
-    probe_process(shared, instance, incarnation, PROBE_TIMEOUT).await
+    probe_process(context, server, incarnation, PROBE_TIMEOUT).await
 }
 
 fn record_state(
@@ -146,12 +160,18 @@
 /// Finds out whether a process still runs. Returns `None` if it does not answer in time, as a busy
 /// server may, or if it rests.
 async fn probe_process(
-    shared: &GatewayShared,
-    instance: &InstanceId,
+    context: &RequestContext,
+    server: &ResponseServer,
     incarnation: Option<IncarnationId>,
     timeout: Duration,
 ) -> Option<ProcessState> {
-    let target = find_process(&shared.lock(), instance, incarnation);
+    let (shared, instance) = (&context.shared, &server.instance);
+    let has_entry = shared.lock().fleet.get(instance).is_some();
+    let target = if has_entry {
+        find_process(&shared.lock(), instance, incarnation)
+    } else {
+        Some(ProbeTarget::without_entry(context, server.address))
+    };
     let Some(target) = target else {
         return Some(ProcessState::Ended);
     };
