gateway: an answer counts once it has been judged

Cause: the outcome of an attempt was a success as soon as its head had come, so that a server without signatures or with bodies without end was never paused and kept its share. Change: a plain answer or a prefill is judged when it has been read, a stream at its end; failures found then count as broken connections.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,7 +15,8 @@
 use hyper::header::HOST;
 use hyper::{
     Request,
-    Response, //
+    Response,
+    StatusCode, //
 };
 use logs::DecisionKind;
 use platform::{
@@ -139,7 +140,8 @@
     std::future::pending().await
 }
 
-/// Records the outcome of an attempt in the metrics and in the health of the backend server.
+/// Records an attempt in the metrics, and its outcome if its head or error shows it. Other answers count
+/// once they have been judged.
 fn record_attempt(
     context: &RequestContext,
     instance: &InstanceId,
@@ -152,7 +154,7 @@
         Ok(response) if response.http.status().is_server_error() => {
             ("error_status", Some(AttemptOutcome::ErrorStatus))
         }
-        Ok(_) => ("answered", Some(AttemptOutcome::Success)),
+        Ok(_) => ("answered", None),
         Err(e @ AttemptError::Unreachable) => (e.as_str(), Some(AttemptOutcome::Unreachable)),
         Err(AttemptError::NotProcessed(reason)) => (*reason, Some(AttemptOutcome::Refused)),
         Err(AttemptError::Unsure(reason)) => (*reason, Some(AttemptOutcome::ConnectionBroken)),
@@ -166,7 +168,30 @@
         .attempts
         .with_label_values(&[name])
         .inc();
-    let Some(outcome) = outcome else { return };
+    if let Some(outcome) = outcome {
+        record_outcome(context, instance, outcome, name);
+    }
+}
+
+/// Records an answer that has arrived and counts, unless its head has shown the outcome.
+pub(crate) fn record_sound_answer(
+    context: &RequestContext,
+    instance: &InstanceId,
+    metadata: &ResponseMetadata,
+    status: StatusCode,
+) {
+    if metadata.notices.rest.is_none() && !status.is_server_error() {
+        record_outcome(context, instance, AttemptOutcome::Success, "answered");
+    }
+}
+
+/// Records the outcome of an attempt in the health of the backend server.
+pub(crate) fn record_outcome(
+    context: &RequestContext,
+    instance: &InstanceId,
+    outcome: AttemptOutcome,
+    name: &str,
+) {
     let paused = context
         .shared
         .lock()
@@ -339,11 +364,26 @@
     }
 }
 
-/// Reads a response completely.
+/// Reads a response completely. Its failure is recorded; whether a complete response counts is for the
+/// reader to judge.
 pub(crate) async fn read_response(
     context: &RequestContext,
     instance: &InstanceId,
     response: OpenResponse,
+) -> Result<CompleteResponse, AttemptError> {
+    let result = read_whole(context, instance, response).await;
+    if let Err(AttemptError::Unsure(reason)) = result
+        && reason != MEMORY_FULL
+    {
+        record_outcome(context, instance, AttemptOutcome::ConnectionBroken, reason);
+    }
+    result
+}
+
+async fn read_whole(
+    context: &RequestContext,
+    instance: &InstanceId,
+    response: OpenResponse,
 ) -> Result<CompleteResponse, AttemptError> {
     let (head, body) = response.http.into_parts();
     let time_left = context.time_left();
--- a/crates/gateway/src/streams/forward.rs
+++ b/crates/gateway/src/streams/forward.rs
@@ -38,7 +38,7 @@
     mut stream: OpenStream,
     history: AttemptHistory,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    if check_stream(&stream.response).is_err() {
+    if check_stream(&context, &stream).is_err() {
         return forward_error(&context, stream).await;
     }
     let (mut head, body) = stream.response.http.into_parts();
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hyper::StatusCode;
 use logs::DecisionKind;
 use policy::{
     AnswerSample,
@@ -23,7 +24,10 @@
     AttemptHistory,
     RequestContext, //
 };
-use crate::send::release_connection;
+use crate::send::{
+    record_sound_answer,
+    release_connection, //
+};
 use crate::streams::generation::open_stream;
 use crate::streams::standby::StandbyStream;
 use crate::streams::stream_attempt::{
@@ -123,7 +127,7 @@
                     break;
                 }
             };
-            match check_stream(&stream.response) {
+            match check_stream(&self.context, &stream) {
                 Ok(()) => return Some(StreamAttempt::new(stream)),
                 Err(error) => {
                     failed = stream.engine.selection.instance;
@@ -227,6 +231,8 @@
         record_decode_speed(context, &attempt.instance, attempt.started);
         let is_framed = attempt.metadata.is_framed;
         record_stream_end(context, &attempt.instance, is_framed);
+        let status = StatusCode::OK;
+        record_sound_answer(context, &attempt.instance, &attempt.metadata, status);
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
     }
 
