gateway, policy: a deadline within an answer adds to the failure rate

Cause: a body that had not ended by the deadline was no outcome at all, so that chunks without end kept their share. Change: it adds to the failure rate, and does not pause, since the caller may have been hasty.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -372,10 +372,16 @@
     response: OpenResponse,
 ) -> Result<CompleteResponse, AttemptError> {
     let result = read_whole(context, instance, response).await;
-    if let Err(AttemptError::Unsure(reason)) = result
-        && reason != MEMORY_FULL
-    {
-        record_outcome(context, instance, AttemptOutcome::ConnectionBroken, reason);
+    let outcome = match &result {
+        Err(AttemptError::DeadlineExceeded) => Some(AttemptOutcome::Unfinished),
+        // The memory is the gateway's own.
+        Err(AttemptError::Unsure(reason)) if *reason != MEMORY_FULL => {
+            Some(AttemptOutcome::ConnectionBroken)
+        }
+        _ => None,
+    };
+    if let (Some(outcome), Err(error)) = (outcome, &result) {
+        record_outcome(context, instance, outcome, error.as_str());
     }
     result
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -20,6 +20,8 @@
     Success,
     /// The backend server answered with a server error status.
     ErrorStatus,
+    /// The deadline passed within an answer, which may be the caller's haste or a body without end.
+    Unfinished,
     /// The backend server refused the request without running it.
     Refused,
     /// No connection could be established.
@@ -56,7 +58,7 @@
                 self.record_failure(now)
             }
             AttemptOutcome::ConnectionBroken => self.record_failure(now),
-            AttemptOutcome::ErrorStatus => false,
+            AttemptOutcome::ErrorStatus | AttemptOutcome::Unfinished => false,
         }
     }
 
