--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -231,6 +231,7 @@
         record_decode_speed(context, &attempt.instance, attempt.started);
         let is_framed = attempt.metadata.is_framed;
         record_stream_end(context, &attempt.instance, is_framed);
+        // Only successes carry streams.
         let status = StatusCode::OK;
         record_sound_answer(context, &attempt.instance, &attempt.metadata, status);
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
