--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -7,7 +7,6 @@
 use logs::DecisionKind;
 use policy::{
     AnswerSample,
-    AttemptOutcome,
     BackendLoad,
     BackendSelection,
     select_plain_server, //
@@ -31,8 +30,6 @@
 use crate::send::{
     into_caller_response,
     read_response,
-    record_outcome,
-    record_sound_answer,
     start_attempt, //
 };
 use crate::servers::in_flight::InFlightGuard;
@@ -88,7 +85,6 @@
         match result {
             Ok(response) => {
                 history.maybe_processed += 1;
-                record_judged(context, &instance, &response);
                 if is_failure(&response) && claim_retry(context, &history) {
                     context.log_retry(&instance, "error_status");
                     continue;
@@ -118,7 +114,7 @@
                     is_success && response.metadata.is_signed,
                 );
                 log_response(context, &instance, &response);
-                if is_unsigned(&response) {
+                if is_success && !response.metadata.is_signed {
                     return Err(RequestError::Unsure("answer_unsigned"));
                 }
                 return Ok(into_caller_response(response));
@@ -193,22 +189,8 @@
 
 /// Returns whether a response is a server error or an unsigned success.
 fn is_failure(response: &CompleteResponse) -> bool {
-    response.http.status().is_server_error() || is_unsigned(response)
-}
-
-/// Returns whether a response is a success that does not count for lack of a signature.
-fn is_unsigned(response: &CompleteResponse) -> bool {
-    response.http.status().is_success() && !response.metadata.is_signed
-}
-
-fn record_judged(context: &RequestContext, instance: &InstanceId, response: &CompleteResponse) {
-    if is_unsigned(response) {
-        let outcome = AttemptOutcome::ConnectionBroken;
-        record_outcome(context, instance, outcome, "answer_unsigned");
-    } else {
-        let status = response.http.status();
-        record_sound_answer(context, instance, &response.metadata, status);
-    }
+    let status = response.http.status();
+    status.is_server_error() || (status.is_success() && !response.metadata.is_signed)
 }
 
 /// Returns whether a request that may have been processed may be retried, and charges the retry
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,8 +15,7 @@
 use hyper::header::HOST;
 use hyper::{
     Request,
-    Response,
-    StatusCode, //
+    Response, //
 };
 use logs::DecisionKind;
 use platform::{
@@ -145,8 +144,7 @@
     std::future::pending().await
 }
 
-/// Records an attempt in the metrics, and its outcome if its head or error shows it. Other answers count
-/// once they have been judged.
+/// Records the outcome of an attempt in the metrics and in the health of the backend server.
 fn record_attempt(
     context: &RequestContext,
     instance: &InstanceId,
@@ -159,7 +157,7 @@
         Ok(response) if response.http.status().is_server_error() => {
             ("error_status", Some(AttemptOutcome::ErrorStatus))
         }
-        Ok(_) => ("answered", None),
+        Ok(_) => ("answered", Some(AttemptOutcome::Success)),
         Err(e @ AttemptError::Unreachable) => (e.as_str(), Some(AttemptOutcome::Unreachable)),
         Err(AttemptError::NotProcessed(reason)) => (*reason, Some(AttemptOutcome::Refused)),
         Err(AttemptError::Unsure(reason)) => (*reason, Some(AttemptOutcome::ConnectionBroken)),
@@ -173,30 +171,7 @@
         .attempts
         .with_label_values(&[name])
         .inc();
-    if let Some(outcome) = outcome {
-        record_outcome(context, instance, outcome, name);
-    }
-}
-
-/// Records an answer that has arrived and counts, unless its head has shown the outcome.
-pub(crate) fn record_sound_answer(
-    context: &RequestContext,
-    instance: &InstanceId,
-    metadata: &ResponseMetadata,
-    status: StatusCode,
-) {
-    if metadata.notices.rest.is_none() && !status.is_server_error() {
-        record_outcome(context, instance, AttemptOutcome::Success, "answered");
-    }
-}
-
-/// Records the outcome of an attempt in the health of the backend server.
-pub(crate) fn record_outcome(
-    context: &RequestContext,
-    instance: &InstanceId,
-    outcome: AttemptOutcome,
-    name: &str,
-) {
+    let Some(outcome) = outcome else { return };
     let paused = context
         .shared
         .lock()
@@ -369,32 +344,11 @@
     }
 }
 
-/// Reads a response completely. Its failure is recorded; whether a complete response counts is for the
-/// reader to judge.
+/// Reads a response completely.
 pub(crate) async fn read_response(
     context: &RequestContext,
     instance: &InstanceId,
     response: OpenResponse,
-) -> Result<CompleteResponse, AttemptError> {
-    let result = read_whole(context, instance, response).await;
-    let outcome = match &result {
-        Err(AttemptError::DeadlineExceeded) => Some(AttemptOutcome::Unfinished),
-        // The memory is the gateway's own.
-        Err(AttemptError::Unsure(reason)) if *reason != MEMORY_FULL => {
-            Some(AttemptOutcome::ConnectionBroken)
-        }
-        _ => None,
-    };
-    if let (Some(outcome), Err(error)) = (outcome, &result) {
-        record_outcome(context, instance, outcome, error.as_str());
-    }
-    result
-}
-
-async fn read_whole(
-    context: &RequestContext,
-    instance: &InstanceId,
-    response: OpenResponse,
 ) -> Result<CompleteResponse, AttemptError> {
     let (head, body) = response.http.into_parts();
     let time_left = context.time_left();
--- a/crates/gateway/src/streams/forward.rs
+++ b/crates/gateway/src/streams/forward.rs
@@ -40,7 +40,7 @@
     history: AttemptHistory,
     answer: RunningAnswer,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    if check_stream(&context, &stream).is_err() {
+    if check_stream(&stream.response).is_err() {
         return forward_error(&context, stream).await;
     }
     let (mut head, body) = stream.response.http.into_parts();
--- a/crates/gateway/src/streams/prefill.rs
+++ b/crates/gateway/src/streams/prefill.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use policy::{
-    AttemptOutcome,
     BackendLoad,
     BackendSelection,
     PrefillBacklog,
@@ -25,8 +24,6 @@
 };
 use crate::send::{
     read_response,
-    record_outcome,
-    record_sound_answer,
     start_attempt, //
 };
 use crate::servers::in_flight::InFlightGuard;
@@ -202,16 +199,8 @@
     let elapsed = started.elapsed();
     let latencies = &context.shared.metrics.latencies;
     latencies.observe_stage(ServerStage::Prefill, instance, elapsed);
-    let status = response.http.status();
-    let prefill = platform::parse_prefill_response(response.http.body());
-    if status.is_success() && prefill.is_err() {
-        let outcome = AttemptOutcome::ConnectionBroken;
-        record_outcome(context, instance, outcome, "prefill_failed");
-    } else {
-        record_sound_answer(context, instance, &response.metadata, status);
-    }
-    let prefill = match prefill {
-        Ok(prefill) if status.is_success() => prefill,
+    let prefill = match platform::parse_prefill_response(response.http.body()) {
+        Ok(prefill) if response.http.status().is_success() => prefill,
         _ => return Err(AttemptError::Unsure("prefill_failed")),
     };
     let mut state = context.shared.lock();
--- a/crates/gateway/src/streams/standby.rs
+++ b/crates/gateway/src/streams/standby.rs
@@ -38,7 +38,7 @@
     cursor.start_attempt();
     let opened = open_stream(context, history, cursor.last_id()).await;
     let stream = opened.map_err(|error| error.as_str())?;
-    check_stream(context, &stream)?;
+    check_stream(&stream.response)?;
     let mut attempt = StreamAttempt::new(stream);
     let instance = attempt.instance.clone();
     let sent = tokio::select! {
--- a/crates/gateway/src/streams/stream_attempt.rs
+++ b/crates/gateway/src/streams/stream_attempt.rs
@@ -18,11 +18,8 @@
     is_malformed, //
 };
 
+use crate::attempt::OpenResponse;
 use crate::request::RequestContext;
-use crate::send::{
-    record_outcome,
-    record_sound_answer, //
-};
 use crate::servers::in_flight::InFlightGuard;
 use crate::streams::generation::OpenStream;
 use crate::suspects::crash_suspects::record_crash;
@@ -83,25 +80,15 @@
     }
 }
 
-/// Checks that a response carries a stream of an engine, and records the outcome if it does not. That
-/// of a stream is known at its end.
-pub(crate) fn check_stream(
-    context: &RequestContext,
-    stream: &OpenStream,
-) -> Result<(), &'static str> {
-    let instance = &stream.engine.selection.instance;
-    let response = &stream.response;
-    let status = response.http.status();
-    if !status.is_success() {
-        record_sound_answer(context, instance, &response.metadata, status);
+/// Checks that a response carries a stream of an engine.
+pub(crate) fn check_stream(response: &OpenResponse) -> Result<(), &'static str> {
+    if !response.http.status().is_success() {
         return Err("error_status");
     }
     if response.metadata.is_signed {
         Ok(())
     } else {
-        let reason = "answer_unsigned";
-        record_outcome(context, instance, AttemptOutcome::ConnectionBroken, reason);
-        Err(reason)
+        Err("answer_unsigned")
     }
 }
 
@@ -115,7 +102,12 @@
 
 /// Records that the stream of an attempt ended early or was given up for another one.
 pub(crate) fn record_failed_attempt(context: &RequestContext, instance: &InstanceId, reason: &str) {
-    record_outcome(context, instance, AttemptOutcome::ConnectionBroken, reason);
+    let outcome = AttemptOutcome::ConnectionBroken;
+    let mut state = context.shared.lock();
+    state
+        .fleet
+        .record_outcome(Instant::now(), instance, outcome);
+    drop(state);
     // After other failures the engine is known to live.
     if matches!(reason, "stream_cut" | "ended_mid_event" | "server_ended") {
         let cause = "connection broke within a stream";
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::StatusCode;
 use logs::DecisionKind;
 use policy::{
     AnswerSample,
@@ -27,10 +26,7 @@
     AttemptHistory,
     RequestContext, //
 };
-use crate::send::{
-    record_sound_answer,
-    release_connection, //
-};
+use crate::send::release_connection;
 use crate::streams::generation::open_stream;
 use crate::streams::standby::StandbyStream;
 use crate::streams::stream_attempt::{
@@ -132,7 +128,7 @@
                     break;
                 }
             };
-            match check_stream(&self.context, &stream) {
+            match check_stream(&stream.response) {
                 Ok(()) => return Some(StreamAttempt::new(stream)),
                 Err(error) => {
                     failed = stream.engine.selection.instance;
@@ -237,9 +233,6 @@
         record_decode_speed(context, &attempt.instance, attempt.started);
         let is_framed = attempt.metadata.is_framed;
         record_stream_end(context, attempt.server(), is_framed);
-        // Only successes carry streams.
-        let status = StatusCode::OK;
-        record_sound_answer(context, &attempt.instance, &attempt.metadata, status);
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
     }
 
--- a/crates/policy/src/backend_selection.rs
+++ b/crates/policy/src/backend_selection.rs
@@ -58,9 +58,6 @@
 /// Preference for a server whose limit may have ended, so that some request finds out.
 const LIMIT_ASK_BONUS_MS: f64 = 50.0;
 
-/// Preference for a server that is due for a trial, below the penalty for another version.
-const TRIAL_BONUS_MS: f64 = 20.0;
-
 /// Share of the prefill time of less urgent prompts that counts as delay of a new prompt, since
 /// some of them are already being prefilled.
 const LOWER_PRIORITY_SHARE: f64 = 0.3;
@@ -152,16 +149,6 @@
     }
 }
 
-/// Returns the penalty for failed attempts. One request now and then is preferred instead, so that a backend
-/// server that is sound again gets its share back.
-fn failure_penalty_ms(view: &BackendView, now: Instant) -> f64 {
-    if view.health.is_due_for_trial(now) {
-        -TRIAL_BONUS_MS
-    } else {
-        view.health.failure_rate() * FAILURE_PENALTY_MS
-    }
-}
-
 fn remote_penalty_ms(view: &BackendView, centre: &DataCentre) -> f64 {
     if view.record.centre == *centre {
         0.0
@@ -185,7 +172,7 @@
         let response_ms = response_ms.as_secs_f64() * 1_000.0;
         let load = f64::from(view.total_load().requests) / f64::from(view.record.slots.max(1));
         let wait_ms = load * response_ms;
-        let failure_ms = failure_penalty_ms(view, now);
+        let failure_ms = view.health.failure_rate() * FAILURE_PENALTY_MS;
         let sent_share = view.sent_rate.per_ms(now) / total_rate;
         let full_share_ms =
             (response_ms * SHARE_PENALTY).clamp(MIN_SHARE_PENALTY_MS, MAX_SHARE_PENALTY_MS);
@@ -249,7 +236,7 @@
             / capacity.prefill_tokens_per_ms;
         let prefill_ms = f64::from(uncached_tokens) / capacity.prefill_tokens_per_ms;
         let recompute_ms = recompute_penalty_ms(layout, uncached_tokens);
-        let failure_ms = failure_penalty_ms(view, now);
+        let failure_ms = view.health.failure_rate() * FAILURE_PENALTY_MS;
         Candidate {
             view,
             score: wait_ms
@@ -295,7 +282,7 @@
             }
             _ => 0.0,
         };
-        let failure_ms = failure_penalty_ms(view, now);
+        let failure_ms = view.health.failure_rate() * FAILURE_PENALTY_MS;
         let remote_ms = remote_penalty_ms(view, request.centre);
         Candidate {
             view,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -128,7 +128,6 @@
             self.last_liveness = Some(now);
         }
         self.sent_rate.add(now, 1.0);
-        self.health.record_send(now);
         self.own_load.add(load);
     }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -13,13 +13,6 @@
 /// Consecutive failures that pause a backend server.
 const FAILURES_BEFORE_PAUSE: u32 = 2;
 
-/// Time from a failed attempt, or a trial, to the next trial of a backend server that has failed.
-const FAILED_TRIAL_INTERVAL: Duration = MAX_PAUSE;
-/// Time between trials of a backend server whose last attempt succeeded, until its failure rate is low.
-const SOUND_TRIAL_INTERVAL: Duration = Duration::from_millis(50);
-/// Failure rate from which a backend server needs trials, since its penalty may keep requests away.
-const MIN_TRIAL_RATE: f64 = 0.001;
-
 /// Outcome of an attempt, as far as it reveals the state of the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -27,8 +20,6 @@
     Success,
     /// The backend server answered with a server error status.
     ErrorStatus,
-    /// The deadline passed within an answer, which may be the caller's haste or a body without end.
-    Unfinished,
     /// The backend server refused the request without running it.
     Refused,
     /// No connection could be established.
@@ -43,9 +34,6 @@
     failure_rate: f64,
     consecutive_failures: u32,
     paused_until: Option<Instant>,
-    /// Time of the last outcome, or of the last request if that is later.
-    last_used: Option<Instant>,
-    has_failed_last: bool,
 }
 
 impl BackendHealth {
@@ -53,8 +41,6 @@
     pub fn record_outcome(&mut self, now: Instant, outcome: AttemptOutcome) -> bool {
         let failed = !matches!(outcome, AttemptOutcome::Success | AttemptOutcome::Refused);
         let sample = if failed { 1.0 } else { 0.0 };
-        self.last_used = Some(now);
-        self.has_failed_last = failed;
         self.failure_rate += FAILURE_RATE_WEIGHT * (sample - self.failure_rate);
         match outcome {
             AttemptOutcome::Success => {
@@ -70,7 +56,7 @@
                 self.record_failure(now)
             }
             AttemptOutcome::ConnectionBroken => self.record_failure(now),
-            AttemptOutcome::ErrorStatus | AttemptOutcome::Unfinished => false,
+            AttemptOutcome::ErrorStatus => false,
         }
     }
 
@@ -79,23 +65,6 @@
         self.failure_rate
     }
 
-    /// Records a request sent to the backend server.
-    pub fn record_send(&mut self, now: Instant) {
-        self.last_used = Some(now);
-    }
-
-    /// Returns whether a request should find out if the backend server, which has failed, is sound again.
-    pub fn is_due_for_trial(&self, now: Instant) -> bool {
-        let interval = if self.has_failed_last {
-            FAILED_TRIAL_INTERVAL
-        } else {
-            SOUND_TRIAL_INTERVAL
-        };
-        self.failure_rate > MIN_TRIAL_RATE
-            && !self.is_paused(now)
-            && self.last_used.is_some_and(|last| now >= last + interval)
-    }
-
     /// Returns whether the backend server is paused and gets no new requests.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.is_some_and(|until| now < until)
