gateway: a continuation whose server ends with it is evidence of a crash again

A request that crashes the engines that run it, in the middle of streams without a length, ended five of them in place of three. Cause: since the end of an attempt that had not continued its stream counted as not_continued before its server was asked whether it had ended, and only the latter is evidence.

The server is asked first again; beside a silent engine, such an end is a broken one, as before.

--- a/crates/gateway/src/streams/standby.rs
+++ b/crates/gateway/src/streams/standby.rs
@@ -67,7 +67,8 @@
 ) -> Result<Bytes, &'static str> {
     loop {
         let Some(bytes) = attempt.next_bytes().await? else {
-            return Err(if cursor.is_mid_event() {
+            // The end of a body of unknown length may be that of its engine.
+            return Err(if cursor.is_mid_event() || !attempt.metadata.is_framed {
                 "ended_mid_event"
             } else {
                 "not_continued"
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -163,12 +163,12 @@
                 Ok(None) if self.cursor.is_mid_event() => {
                     return self.fail(instance, "ended_mid_event");
                 }
-                Ok(None) if !self.cursor.has_continued() => {
-                    return self.fail(instance, "not_continued");
-                }
                 Ok(None) if self.has_ended_with_server(&attempt).await => {
                     return self.fail(instance, "server_ended");
                 }
+                Ok(None) if !self.cursor.has_continued() => {
+                    return self.fail(instance, "not_continued");
+                }
                 Ok(None) => {
                     self.finish_attempt(attempt);
                     return StreamEnd::Complete;
