--- a/crates/policy/tests/events.rs
+++ b/crates/policy/tests/events.rs
@@ -153,7 +153,7 @@
     let repeated = format!(": note\n\n{}", events(3..=4));
     assert!(cursor.push(repeated.as_bytes()).unwrap().is_empty());
     assert!(!cursor.has_continued());
-    let versioned = "x-galenarail-weight-versions: 2\nid: 5\ndata: a\n\ndata: done\n\n";
+    let versioned = "weight-versions: 2\nid: 5\ndata: a\n\ndata: done\n\n";
     assert_eq!(cursor.push(versioned.as_bytes()).unwrap(), versioned);
     assert!(cursor.has_continued());
 }
