gateway, policy: callers are identified by the keys of their accounts

Cause: a configuration may hold accounts with keys. The gateway passed keys and forged account headers on, and served callers without a valid key. Change: the configuration's accounts are parsed into a table of key digests; on a route that is not public, a caller without the key of an account gets 401. An account's rank replaces the route's. Without accounts in the configuration nothing changes.

--- a/crates/cli/src/commands/account.rs
+++ b/crates/cli/src/commands/account.rs
@@ -1,15 +1,13 @@
 //! `galenarail account`: adds, lists and removes callers' accounts.
 
 use argh::FromArgs;
-use conf::{
-    AccountConfig,
-    KeyDigest, //
-};
+use conf::AccountConfig;
 use serde::Serialize;
 use snafu::ensure;
 use units::{
     AccountName,
-    ConfigVersion, //
+    ConfigVersion,
+    KeyDigest, //
 };
 
 use crate::error::NotFoundSnafu;
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -18,7 +18,6 @@
 mod system_config;
 
 pub use account::AccountConfig;
-pub use account::KeyDigest;
 pub use call::CallConfig;
 pub use change::ChangeRecord;
 pub use class::ClassTarget;
--- a/crates/conf/src/system_config.rs
+++ b/crates/conf/src/system_config.rs
@@ -21,6 +21,7 @@
     ClassName,
     ConfigVersion,
     InstanceId,
+    KeyDigest,
     ModelName,
     ServiceName, //
 };
@@ -32,8 +33,7 @@
     CallConfig,
     ChangeRecord,
     ClassTarget,
-    ConfError,
-    KeyDigest, //
+    ConfError, //
 };
 
 /// Number of changes that the configuration keeps in its history.
--- a/crates/demo/tests/hostile.rs
+++ b/crates/demo/tests/hostile.rs
@@ -10,10 +10,7 @@
 };
 use std::time::Duration;
 
-use conf::{
-    AccountConfig,
-    KeyDigest, //
-};
+use conf::AccountConfig;
 use demo::{
     ClusterOptions,
     DemoCluster,
@@ -35,7 +32,10 @@
     sleep,
     timeout, //
 };
-use units::IncarnationId;
+use units::{
+    IncarnationId,
+    KeyDigest, //
+};
 use wire::{
     LinkTimeouts,
     PeerIdentity,
--- a/crates/entry/src/accounts.rs
+++ b/crates/entry/src/accounts.rs
@@ -1,9 +1,6 @@
 //! Authentication of callers and rate limits of their accounts.
 
-use conf::{
-    KeyDigest,
-    SystemConfig, //
-};
+use conf::SystemConfig;
 use hyper::StatusCode;
 use hyper::header::{
     AUTHORIZATION,
@@ -15,7 +12,10 @@
 };
 use policy::AccountLimit;
 use tokio::time::Instant;
-use units::AccountName;
+use units::{
+    AccountName,
+    KeyDigest, //
+};
 
 use crate::caller_failure::CallerFailure;
 use crate::state::EntryShared;
--- a/crates/gateway/src/overview.rs
+++ b/crates/gateway/src/overview.rs
@@ -7,6 +7,7 @@
     BACKEND_PREFIX,
     CONFIG_KEY,
     KeyStore,
+    ParsedConfiguration,
     PlatformError,
     parse_backend,
     parse_configuration, //
@@ -58,7 +59,9 @@
         let mut overview = Self::default();
         if let Some(item) = store.get(CONFIG_KEY).await? {
             match parse_configuration(&item.value) {
-                Ok(table) => overview.config = Some((table.version, table.len())),
+                Ok(ParsedConfiguration { table, .. }) => {
+                    overview.config = Some((table.version, table.len()))
+                }
                 Err(error) => overview.unreadable.push(format!("{CONFIG_KEY}: {error}")),
             }
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -27,6 +27,7 @@
 };
 use policy::{
     BackendSelection,
+    CallerAccount,
     EngineCapacity,
     EngineStage,
     PromptUrgency,
@@ -83,6 +84,8 @@
     /// Whether a backend server may have run the request.
     pub(crate) may_have_run: AtomicBool,
     pub(crate) metadata: RequestMetadata,
+    /// Account of the caller.
+    pub(crate) account: CallerAccount,
     /// When the request arrived.
     pub(crate) started: Instant,
     /// End of the caller's or the route's timeout, whichever is shorter, less a margin for an error
@@ -105,10 +108,15 @@
         }
     }
 
+    /// Returns the rank of the request: that of the account goes before that of the route.
+    pub(crate) fn rank(&self) -> u8 {
+        self.account.rank(self.rule.rank)
+    }
+
     /// Returns the rank and the target that determine the prompt's queue position.
     pub(crate) fn urgency(&self) -> PromptUrgency {
         PromptUrgency {
-            rank: self.rule.rank,
+            rank: self.rank(),
             target: self.rule.target,
         }
     }
@@ -193,6 +201,7 @@
             prefill_only: false,
             kv_source: None,
             resume_after_event: None,
+            account: self.account.clone(),
         }
     }
 
@@ -343,9 +352,13 @@
 
     /// Returns a log record about this request.
     pub(crate) fn record(&self, kind: DecisionKind, reason: impl Into<String>) -> DecisionRecord {
-        DecisionRecord::new(kind, reason)
+        let record = DecisionRecord::new(kind, reason)
             .request(self.id())
-            .class(&self.rule.name)
+            .class(&self.rule.name);
+        match self.account.name() {
+            Some(account) => record.input("account", account.as_str()),
+            None => record,
+        }
     }
 }
 
--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -25,6 +25,8 @@
     NotConfigured,
     /// No route matches.
     NoRoute,
+    /// The caller presents no key of an account, and the route is not public.
+    UnknownCaller,
     /// The headers leave the requested host ambiguous.
     InvalidHeader,
     /// The request head exceeds its size limit.
@@ -72,6 +74,7 @@
         match self {
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
+            Self::UnknownCaller => "unknown_caller",
             Self::InvalidHeader => "bad_head",
             Self::HeaderTooLarge => "head_too_large",
             Self::BodyTooLarge => "too_large",
@@ -113,6 +116,7 @@
             | Self::Resting(_)
             | Self::VersionUnknown(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownCaller => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::InvalidHeader | Self::IncompleteBody => StatusCode::BAD_REQUEST,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -130,6 +130,8 @@
     let host = requested_host(&head)?;
     let rule = table.find(host, head.uri.path()).cloned();
     let rule = rule.ok_or(RequestError::NoRoute)?;
+    let account = table.identify_caller(&rule, &metadata.key);
+    let account = account.ok_or(RequestError::UnknownCaller)?;
     let kind = rule.kind.as_str();
     shared.metrics.requests.with_label_values(&[kind]).inc();
     let deadline = started + rule.timeout.min(metadata.timeout.unwrap_or(rule.timeout));
@@ -166,6 +168,7 @@
         headers: head.headers,
         body,
         metadata,
+        account,
         started,
         deadline,
         rule: rule.clone(),
--- a/crates/gateway/src/store/store_watch.rs
+++ b/crates/gateway/src/store/store_watch.rs
@@ -18,6 +18,7 @@
     StoreRevision,
     parse_configuration, //
 };
+use policy::AccountTable;
 use tokio::time::{
     Instant,
     sleep, //
@@ -179,13 +180,14 @@
     if item.key != CONFIG_KEY {
         return;
     }
-    let table = match parse_configuration(&item.value) {
-        Ok(table) => table,
+    let parsed = match parse_configuration(&item.value) {
+        Ok(parsed) => parsed,
         Err(error) => {
             let cause = error.to_string();
             return report_unreadable(shared, UnreadableKind::Configuration, item, &cause);
         }
     };
+    let table = parsed.table;
     let version = table.version;
     let longest_timeout = table.longest_timeout();
     let mut state = shared.lock();
@@ -194,6 +196,8 @@
         return;
     }
     let routes = table.len();
+    let accounts = table.accounts.as_ref().map(AccountTable::len);
+    let ambiguous_keys = table.accounts.as_ref().map(AccountTable::ambiguous_keys);
     let limits = ConnectionLimits {
         max_header_bytes: table.limits.max_header_bytes,
         header_timeout: table.limits.header_timeout,
@@ -210,5 +214,12 @@
         .input("before", before.map(|version| version.0))
         .input("revision", item.revision)
         .input("routes", routes);
+    let record = match accounts {
+        Some(accounts) => record
+            .input("accounts", accounts)
+            .input("unreadable_accounts", parsed.unreadable_accounts)
+            .input("ambiguous_keys", ambiguous_keys),
+        None => record,
+    };
     shared.log.write(record);
 }
--- a/crates/gateway/src/tokens/token_estimate.rs
+++ b/crates/gateway/src/tokens/token_estimate.rs
@@ -84,7 +84,7 @@
     shortage: Shortage,
     is_waiting: bool,
 ) -> (Duration, bool) {
-    let rank = context.rule.rank;
+    let rank = context.rank();
     if matches!(shortage, Shortage::Tokens)
         && let Some(backlog) = group_backlog(state, now, group)
     {
--- a/crates/gateway/src/tokens/token_wait.rs
+++ b/crates/gateway/src/tokens/token_wait.rs
@@ -272,7 +272,7 @@
         Duration::MAX
     };
     let queue = state.token_state.queue_mut(group);
-    let rank = context.rule.rank;
+    let rank = context.rank();
     let joined = queue.join(now, rank, wait, max_wait, rate, rand::random());
     drop(state);
     let joined = joined.map(|id| (id, is_expected));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every type is a plain state machine. Methods take the current time as an argument, so that
 //! daemons, tests and simulations run the same code.
 
+mod account_table;
 mod answer;
 mod answer_times;
 mod availability;
@@ -62,6 +63,11 @@
 mod version_rule;
 mod wait_estimate;
 
+pub use account_table::AccountSpec;
+pub use account_table::AccountTable;
+pub use account_table::CallerAccount;
+pub use account_table::CallerKey;
+pub use account_table::MAX_ACCOUNT_KEYS;
 pub use answer::AnswerAssembler;
 pub use answer::ChunkVerdict;
 pub use answer_times::AnswerEstimate;
--- a/crates/policy/src/route_table.rs
+++ b/crates/policy/src/route_table.rs
@@ -12,6 +12,12 @@
     ServiceName, //
 };
 
+use crate::{
+    AccountTable,
+    CallerAccount,
+    CallerKey, //
+};
+
 /// How a route answers, and whether its requests may be retried after an unknown outcome.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CallKind {
@@ -80,6 +86,8 @@
     pub gap_target: Option<Duration>,
     /// Rank of the requests; 0 is the most urgent.
     pub rank: u8,
+    /// Whether callers need no key of an account.
+    pub is_public: bool,
     /// Maximum number of backend servers on which one request may run.
     pub max_attempts: u32,
     /// Services that serve the route; never empty.
@@ -145,6 +153,8 @@
     pub services: BTreeMap<ServiceName, ServiceSpec>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Accounts of callers, or `None` if callers need no key.
+    pub accounts: Option<AccountTable>,
     rules_by_host: BTreeMap<String, Vec<Arc<RouteRule>>>,
 }
 
@@ -168,10 +178,25 @@
             version,
             services,
             limits,
+            accounts: None,
             rules_by_host,
         }
     }
 
+    /// Adds the accounts of callers.
+    pub fn with_accounts(self, accounts: Option<AccountTable>) -> Self {
+        Self { accounts, ..self }
+    }
+
+    /// Returns the caller who presents a key to a route. Returns `None` if the request is to be
+    /// rejected.
+    pub fn identify_caller(&self, rule: &RouteRule, key: &CallerKey) -> Option<CallerAccount> {
+        match &self.accounts {
+            Some(accounts) => accounts.identify(key, rule.is_public),
+            None => Some(CallerAccount::Unmanaged),
+        }
+    }
+
     /// Returns the rule with the longest prefix of a path, for a `Host` header with or without a
     /// port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -27,6 +27,7 @@
         target: Duration::from_millis(100),
         gap_target: None,
         rank: 0,
+        is_public: false,
         max_attempts: 2,
         shares: shares.collect(),
     }
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -1,6 +1,7 @@
 //! Newtypes for the names, ids and quantities shared by the crates of the workspace.
 
 mod error;
+mod key_digest;
 mod name;
 mod number;
 mod request_rate;
@@ -8,6 +9,7 @@
 mod suspect;
 
 pub use error::UnitError;
+pub use key_digest::KeyDigest;
 pub use name::AccountName;
 pub use name::CallName;
 pub use name::ClassName;
