gateway, policy, platform: usage of accounts is counted and reported by one gateway

Cause: where the platform asks for it, each window's usage of all accounts is due once, and nobody counted it. Change: every gateway counts the requests that began to run, by window of true time (the median of the gateways' clocks), and tells the holder of the planner lease and the two gateways that acquire it next what has changed. The holder fixes a window's counts in the store by compare-and-swap and only then reports them; a successor repeats what is fixed. Windows that nobody counted from start to end are given up, and so are those that the store may have forgotten after it came back from an earlier copy. Settings without duties change nothing.

--- a/crates/conf/src/gateway.rs
+++ b/crates/conf/src/gateway.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::ConfError;
+use crate::DutySettings;
 use crate::check::{
     require,
     require_range, //
@@ -64,6 +65,9 @@
     /// Memory that the process may use, in MB of 1,048,576 bytes.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u32,
+    /// Duties that one gateway carries out for all; absent where the platform asks for none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duties: Option<DutySettings>,
 }
 
 fn default_memory_mb() -> u32 {
@@ -80,6 +84,9 @@
         require_range(self.order_settle_ms, 0.0, 600_000.0, "order_turn_ms")?;
         require_range(self.descriptors, 300, 10_000_000, "descriptors")?;
         require_range(self.memory_mb, 32, 1 << 20, "memory_mb")?;
+        if let Some(duties) = &self.duties {
+            duties.check()?;
+        }
         let is_distinct = self.listen != self.readiness && self.store != self.listen;
         let problem = "the address for callers is also the readiness or store address";
         let remedy = "give the gateway an address of its own for callers";
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -54,6 +54,11 @@
 use crate::store::store_watch::watch_store;
 use crate::suspects::suspect_store::write_suspects;
 use crate::tokens::token_exchange::exchange_tokens;
+use crate::usage::usage_exchange::{
+    send_usage,
+    tell_receivers, //
+};
+use crate::usage::usage_reports::report_usage;
 use crate::versions::origin_store::write_origins;
 
 /// Time between the latest exit of the gateway and the SIGKILL at the end of the grace period.
@@ -134,6 +139,8 @@
             tokio::spawn(send_load_reports(shared.clone(), socket.clone())),
             tokio::spawn(exchange_tokens(shared.clone(), socket.clone())),
             tokio::spawn(receive_load_reports(shared.clone(), socket)),
+            tokio::spawn(send_usage(shared.clone())),
+            tokio::spawn(report_usage(shared.clone())),
         ];
         let record = DecisionRecord::new(DecisionKind::Process, "started").chosen(address);
         shared.log.write(record);
@@ -188,6 +195,9 @@
             self.server.abort();
             sleep(CUT_LOG_TIME).await;
         }
+        if let Some(usage) = &self.shared.usage {
+            tell_receivers(&self.shared, usage);
+        }
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod streams;
 mod suspects;
 mod tokens;
+mod usage;
 mod versions;
 
 pub use daemon::GatewayDaemon;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -35,6 +35,7 @@
     ServerLoad, //
 };
 
+use crate::clock::ClockReading;
 use crate::servers::leaving_servers::{
     leaving_reports,
     merge_leaving_reports, //
@@ -51,6 +52,7 @@
     merge_limit_reports, //
 };
 use crate::tokens::token_exchange::accept_token_message;
+use crate::usage::usage_exchange::accept_usage_message;
 use crate::versions::origin_messages::accept_stream_message;
 
 /// Minimum and maximum interval between load reports to each peer.
@@ -142,6 +144,8 @@
     report.loads = loads.collect();
     report.limits = limit_reports(now, state);
     report.leaving = leaving_reports(state);
+    let usage = shared.usage.as_ref();
+    report.unix_ms = usage.map(|_| ClockReading::take().unix_ms);
     report
 }
 
@@ -174,7 +178,10 @@
 }
 
 fn accept_load_report(shared: &GatewayShared, sender: SocketAddr, data: &[u8]) {
-    if accept_token_message(shared, sender, data) || accept_stream_message(shared, sender, data) {
+    if accept_token_message(shared, sender, data)
+        || accept_stream_message(shared, sender, data)
+        || accept_usage_message(shared, sender, data)
+    {
         return;
     }
     let report = match GatewayLoad::decode(data) {
@@ -197,6 +204,9 @@
     if state.members.get(&peer).map(SocketAddr::ip) != Some(sender.ip()) {
         return;
     }
+    if let (Some(usage), Some(unix_ms)) = (&shared.usage, report.unix_ms) {
+        usage.lock().record_clock(peer.clone(), unix_ms);
+    }
     let loads: BTreeMap<u32, BackendLoad> = report.loads.iter().map(parse_server_load).collect();
     let incarnation = IncarnationId(report.incarnation);
     state
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,9 @@
     pub(crate) body_bytes: IntGauge,
     pub(crate) unreadable_entries: IntCounterVec,
     pub(crate) config_version: IntGauge,
+    pub(crate) usage_windows: IntCounterVec,
+    pub(crate) usage_calls: IntCounterVec,
+    pub(crate) uncounted_requests: IntCounter,
     pub(crate) latencies: LatencyMetrics,
 }
 
@@ -58,6 +61,11 @@
         let unreadable_help = "Values read from the store that could not be parsed";
         let tokens_help = "Tokens for requests to limited backend servers";
         let verdicts_help = "Verdicts on requests suspected of crashing backend servers";
+        let windows_help =
+            "Windows of usage that this gateway fixed, reported or gave up, by reason";
+        let usage_calls_help = "Reports of usage sent, by answer";
+        let uncounted_help =
+            "Requests that are missing in the usage, since there are too many counts";
         Self {
             requests: set.counter_vec("requests_total", "Requests by kind", "kind"),
             outcomes: set.counter_vec("outcomes_total", outcomes_help, "outcome"),
@@ -96,6 +104,9 @@
                 "kind",
             ),
             config_version: set.gauge("config_version", "Version of the configuration in force"),
+            usage_windows: set.counter_vec("usage_windows_total", windows_help, "outcome"),
+            usage_calls: set.counter_vec("usage_calls_total", usage_calls_help, "answer"),
+            uncounted_requests: set.counter("uncounted_requests_total", uncounted_help),
             latencies: LatencyMetrics::new(&set),
             set,
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -41,6 +41,7 @@
 };
 use crate::tokens::token_ticket::TokenTicket;
 use crate::tokens::token_wait::select_with_token;
+use crate::usage::usage_state::record_plain_begun;
 
 /// Serves a request whose response is read completely before it is forwarded.
 pub(crate) async fn serve_plain(
@@ -81,6 +82,12 @@
             in_flight.return_token();
         }
         drop(in_flight);
+        if matches!(
+            result,
+            Ok(_) | Err(AttemptError::Unsure(_) | AttemptError::DeadlineExceeded)
+        ) {
+            record_plain_begun(context, started.elapsed());
+        }
         history.excluded.insert(instance.clone());
         match result {
             Ok(response) => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -64,6 +64,7 @@
 use crate::suspects::answer_watch::AnsweringSegments;
 use crate::suspects::suspect_news::SuspectNews;
 use crate::tokens::token_state::TokenState;
+use crate::usage::usage_state::UsageState;
 use crate::versions::origin_state::OriginState;
 
 /// Timeout of one store call.
@@ -104,6 +105,8 @@
     /// Addresses of all gateways for load reports, including this one. All gateways share the retry
     /// limits.
     pub(crate) members: BTreeMap<InstanceId, SocketAddr>,
+    /// Gateway that holds the planner lease, according to the watch on the store.
+    pub(crate) planner_holder: Option<InstanceId>,
     /// Key of the planner lease, according to the watch on the store.
     pub(crate) planner_key: PlannerKey,
     /// Leases that this gateway holds in the store.
@@ -168,6 +171,8 @@
     pub(crate) exchange_socket: OnceLock<Arc<UdpSocket>>,
     /// Era of the store, sent when it rises.
     pub(crate) eras: watch::Sender<Option<StoreEra>>,
+    /// Usage of accounts, where the settings call for reports of it.
+    pub(crate) usage: Option<UsageState>,
     /// Memory for the bodies of requests and answers.
     pub(crate) bodies: BodyBudget,
     /// Window of the graceful shutdown, or `None` while the gateway is not draining.
@@ -182,6 +187,7 @@
 impl GatewayShared {
     pub(crate) fn new(settings: GatewaySettings, log: LogSink) -> Self {
         let settle_time = settings.order_settle_time();
+        let usage = UsageState::new(&settings, &log);
         Self {
             store: KeyStore::new(settings.store, STORE_TIMEOUT),
             started_at: Instant::now(),
@@ -194,6 +200,7 @@
                 retry_budgets: BTreeMap::new(),
                 speeds: BTreeMap::new(),
                 members: BTreeMap::new(),
+                planner_holder: None,
                 planner_key: PlannerKey::Unknown,
                 leases: HeldLeases::default(),
                 peer_loads: PeerLoads::default(),
@@ -217,6 +224,7 @@
             origins: OriginState::default(),
             exchange_socket: OnceLock::new(),
             eras: watch::Sender::new(None),
+            usage,
             bodies: BodyBudget::new(settings.body_bytes()),
             drain: watch::Sender::new(None),
             is_cutting: AtomicBool::new(false),
--- a/crates/gateway/src/store/membership.rs
+++ b/crates/gateway/src/store/membership.rs
@@ -28,6 +28,7 @@
 use crate::store::planner_lease::{
     PLANNER_KEY,
     PlannerKey,
+    planner_holder,
     planner_key,
     planner_turn_delay,
     remove_unheld_key,
@@ -176,8 +177,10 @@
     let mut members: BTreeMap<InstanceId, SocketAddr> = parsed.collect();
     let planner_item = items.iter().find(|item| item.key == PLANNER_KEY);
     let planner_key = planner_item.map_or(PlannerKey::Absent, |item| planner_key(shared, item));
+    let holder = planner_item.and_then(planner_holder);
     let mut state = shared.lock();
     state.planner_key = planner_key;
+    state.planner_holder = holder;
     // Each gateway would take a larger share of the retry budgets if others seemed to be gone.
     if members_may_return(&state.store_health, Instant::now()) {
         let known = state.members.clone();
@@ -200,8 +203,12 @@
     match change {
         KeyChange::Written(item) if item.key == PLANNER_KEY => {
             state.planner_key = planner_key(shared, item);
+            state.planner_holder = planner_holder(item);
+        }
+        KeyChange::Removed(key) if key == PLANNER_KEY => {
+            state.planner_key = PlannerKey::Absent;
+            state.planner_holder = None;
         }
-        KeyChange::Removed(key) if key == PLANNER_KEY => state.planner_key = PlannerKey::Absent,
         KeyChange::Written(_) => state.members.extend(member),
         KeyChange::Removed(key) => {
             let instance_name = key.strip_prefix(MEMBER_PREFIX).unwrap_or_default();
--- a/crates/gateway/src/store/planner_lease.rs
+++ b/crates/gateway/src/store/planner_lease.rs
@@ -22,6 +22,7 @@
     member_turn,
     planner_epoch, //
 };
+use units::InstanceId;
 
 use crate::shared::GatewayShared;
 use crate::store::store_call::{
@@ -70,6 +71,11 @@
     }
 }
 
+/// Returns the gateway that an item of the planner key names.
+pub(crate) fn planner_holder(item: &KeyValue) -> Option<InstanceId> {
+    std::str::from_utf8(&item.value).ok()?.parse().ok()
+}
+
 /// Returns how long this gateway leaves the planner lease to others, of which one acquires it.
 pub(crate) fn planner_turn_delay(shared: &GatewayShared) -> Duration {
     let own = &shared.settings.instance;
--- a/crates/gateway/src/store/store_call.rs
+++ b/crates/gateway/src/store/store_call.rs
@@ -35,6 +35,8 @@
     StreamLookup,
     /// Writes the versions of a service.
     Versions,
+    /// Reads and writes the fixed reports of usage.
+    Usage,
 }
 
 /// Status of a call beyond the rate that the store allows.
@@ -57,6 +59,7 @@
             Self::StreamRecords => "stream_records",
             Self::StreamLookup => "stream_lookup",
             Self::Versions => "versions",
+            Self::Usage => "usage",
         }
     }
 }
--- a/crates/gateway/src/streams/stream_attempt.rs
+++ b/crates/gateway/src/streams/stream_attempt.rs
@@ -24,6 +24,7 @@
 use crate::streams::generation::OpenStream;
 use crate::suspects::crash_suspects::record_crash;
 use crate::suspects::unframed_end::ResponseServer;
+use crate::usage::usage_state::record_stream_begun;
 
 /// Body of one attempt, with the load that the attempt puts on its engine.
 pub(crate) struct StreamAttempt {
@@ -75,6 +76,7 @@
         context.shared.record_liveness(&self.instance);
         if self.started.is_none() {
             self.started = Some(Instant::now());
+            record_stream_begun(context);
             self.in_flight.finish_prefill();
         }
     }
--- a/crates/logs/src/decision.rs
+++ b/crates/logs/src/decision.rs
@@ -55,6 +55,8 @@
     Dependency,
     /// The known set of peers changed.
     Member,
+    /// A duty that one gateway carries out for all took a step.
+    Duty,
 }
 
 /// One decision with its reason, the options considered and the inputs.
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -33,6 +33,22 @@
     before.count() as u32
 }
 
+/// Returns the `limit` members that come first in this order.
+pub fn first_members<'a>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a InstanceId>,
+    limit: usize,
+) -> Vec<InstanceId> {
+    let weighted = members.into_iter().map(|member| {
+        let text = format!("{key}|{member}");
+        (XxHash3_64::oneshot(text.as_bytes()), member)
+    });
+    let mut ranked: Vec<(u64, &InstanceId)> = weighted.collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let first = ranked.into_iter().take(limit);
+    first.map(|(_, member)| member.clone()).collect()
+}
+
 /// Delay of each further turn, in which the record of an earlier one becomes known to all members.
 const TURN_STEP: Duration = Duration::from_millis(1_300);
 /// Longest delay, for members whose turn comes only if many others are gone.
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -31,6 +31,7 @@
 pub use number::StreamKey;
 pub use number::TokenCount;
 pub use number::TokenRate;
+pub use number::UsageWindow;
 pub use number::WorthPoints;
 pub use request_rate::RequestRate;
 pub use software_version::SoftwareVersion;
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -101,6 +101,9 @@
     /// Number of tokens of a prompt or an output.
     TokenCount(u32) => "token count";
     #[derive(Eq, Ord, Hash)]
+    /// Number of a window in which usage is counted. Window k begins k window lengths after 1970.
+    UsageWindow(u64) => "usage window";
+    #[derive(Eq, Ord, Hash)]
     /// Value of one answer relative to answers of other classes.
     WorthPoints(u32) => "worth";
     #[derive()]
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -8,6 +8,7 @@
 mod order;
 mod stream_message;
 mod token_message;
+mod usage_message;
 
 pub use call::CallOutcome;
 pub use call::CallRequest;
@@ -46,3 +47,8 @@
 pub use token_message::TokenIssue;
 pub use token_message::TokenMessage;
 pub use token_message::WaitingCount;
+pub use usage_message::AccountCount;
+pub use usage_message::UsageCounts;
+pub use usage_message::UsageMessage;
+pub use usage_message::UsageReceipt;
+pub use usage_message::WindowCounts;
--- a/crates/wire/src/messages/gateway_load.rs
+++ b/crates/wire/src/messages/gateway_load.rs
@@ -131,4 +131,7 @@
     /// Backend servers that have said that they leave.
     #[prost(message, repeated, tag = "10")]
     pub leaving: Vec<LeavingServer>,
+    /// Time of day of the sender, in milliseconds since the Unix epoch, where gateways report usage.
+    #[prost(uint64, optional, tag = "15")]
+    pub unix_ms: Option<u64>,
 }
