policy, units: order of configurations, claims of peers, counts by account

Cause: a gateway that the store turns away learns of no removed key, and nothing decides whether a peer's configuration is later. A key's digest could be printed. Change: ConfigPosition orders configurations by era, revision and version; ConfigClaims decides when a peer is asked, which one, and with what delay after failures; AccountCounts ranks accounts for the metrics. The digest of a key prints nothing with Debug. All without I/O, with the time as an argument.

--- a/crates/policy/src/account_table.rs
+++ b/crates/policy/src/account_table.rs
@@ -116,6 +116,11 @@
         self.ranks.keys()
     }
 
+    /// Returns whether there is an account of this name.
+    pub fn contains(&self, name: &AccountName) -> bool {
+        self.ranks.contains_key(name)
+    }
+
     /// Returns the number of accounts.
     pub fn len(&self) -> usize {
         self.ranks.len()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every type is a plain state machine. Methods take the current time as an argument, so that
 //! daemons, tests and simulations run the same code.
 
+mod account_counts;
 mod account_table;
 mod answer;
 mod answer_times;
@@ -13,6 +14,8 @@
 mod backend_selection;
 mod cache_estimate;
 mod claim;
+mod config_claims;
+mod config_order;
 mod cost;
 mod decode_speed;
 mod drain;
@@ -63,6 +66,8 @@
 mod version_rule;
 mod wait_estimate;
 
+pub use account_counts::AccountCount;
+pub use account_counts::AccountCounts;
 pub use account_table::AccountSpec;
 pub use account_table::AccountTable;
 pub use account_table::CallerAccount;
@@ -92,6 +97,10 @@
 pub use claim::ClaimShard;
 pub use claim::ClaimVerdict;
 pub use claim::body_digest;
+pub use config_claims::ConfigClaims;
+pub use config_claims::FIRST_BACKOFF;
+pub use config_claims::WATCH_TIME;
+pub use config_order::ConfigPosition;
 pub use cost::CostModel;
 pub use decode_speed::DecodeSpeed;
 pub use drain::DrainDecision;
--- a/crates/units/src/key_digest.rs
+++ b/crates/units/src/key_digest.rs
@@ -13,7 +13,7 @@
 };
 
 /// SHA-256 digest of an account's key.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyDigest([u8; 32]);
@@ -25,6 +25,12 @@
     }
 }
 
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(hidden)")
+    }
+}
+
 impl fmt::Display for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&hex::encode(self.0))
