gateway, platform: configurations with accounts reach gateways through their peers

Cause: a gateway that the store turns away or that is cut off from it served removed keys and refused new ones. Errors about a configuration named values of it, of which some are keys; a list without one readable account replaced the last good one; a caller refused with 401 lost its connection if its body was long. Change: the load report carries the position of the configuration once one has held accounts; a gateway that lacks a later one for 600 ms asks a member of the store's list for it over TCP at the exchange address. A position must be later by era, revision and version, and the document a whole configuration. Store reads confirm the position of a configuration that they do not replace, so that a gateway that starts on an earlier copy of the store gets the later one.

--- /dev/null
+++ b/crates/gateway/src/accounts/config_claims.rs
@@ -0,0 +1,57 @@
+//! What the peers' load reports tell of their configurations.
+
+use std::net::SocketAddr;
+
+use logs::{
+    DecisionKind,
+    DecisionRecord, //
+};
+use tokio::time::Instant;
+use units::InstanceId;
+use wire::GatewayLoad;
+
+use crate::accounts::config_sharing::{
+    parse_place,
+    record_stranger, //
+};
+use crate::shared::GatewayShared;
+
+/// Records the position of a peer's configuration.
+pub(crate) fn merge_config_place(shared: &GatewayShared, peer: &InstanceId, report: &GatewayLoad) {
+    let Some(place) = &report.config else {
+        return;
+    };
+    let position = parse_place(place);
+    let mut state = shared.lock();
+    let sharing = &mut state.config_sharing;
+    let own = sharing.position;
+    let is_new = sharing
+        .claims
+        .record(Instant::now(), peer, position, own.as_ref());
+    let is_first = is_new && sharing.claims.len() == 1;
+    drop(state);
+    if is_new {
+        shared.config_claims.notify_one();
+    }
+    if is_first {
+        let record = DecisionRecord::new(DecisionKind::Config, "peer has a later configuration")
+            .considered(vec![peer.to_string()])
+            .input("version", position.version.0)
+            .input("revision", position.revision)
+            .input("era", position.era.map(|era| era.0))
+            .input("own_version", own.map(|own| own.version.0))
+            .input("own_revision", own.map(|own| own.revision));
+        shared.log.write(record);
+    }
+}
+
+/// Records a load report that tells of a configuration and comes from no gateway.
+pub(crate) fn reject_config_place(
+    shared: &GatewayShared,
+    sender: SocketAddr,
+    report: &GatewayLoad,
+) {
+    if report.config.is_some() {
+        record_stranger(shared, sender, "load report");
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -35,6 +35,8 @@
 };
 
 use crate::GatewayError;
+use crate::accounts::config_pull::pull_configurations;
+use crate::accounts::config_server::serve_configurations;
 use crate::drain::BALANCER_NOTICE_TIME;
 use crate::error::ListenSnafu;
 use crate::load_exchange::{
@@ -125,6 +127,8 @@
             metric_server,
             stop_signals_task,
             tokio::spawn(watch_store(shared.clone())),
+            tokio::spawn(serve_configurations(shared.clone())),
+            tokio::spawn(pull_configurations(shared.clone())),
             tokio::spawn(expire_backends(shared.clone())),
             tokio::spawn(maintain_leases(shared.clone())),
             tokio::spawn(write_suspects(shared.clone())),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each request gets one complete answer or an error that states correctly whether the request was
 //! processed.
 
+mod accounts;
 mod attempt;
 mod clock;
 mod daemon;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -35,6 +35,10 @@
     ServerLoad, //
 };
 
+use crate::accounts::config_claims::{
+    merge_config_place,
+    reject_config_place, //
+};
 use crate::servers::leaving_servers::{
     leaving_reports,
     merge_leaving_reports, //
@@ -142,6 +146,7 @@
     report.loads = loads.collect();
     report.limits = limit_reports(now, state);
     report.leaving = leaving_reports(state);
+    report.config = state.config_sharing.place();
     report
 }
 
@@ -195,6 +200,8 @@
     let state = &mut *guard;
     // Accepts reports only from the IP address under which the peer is registered in the store.
     if state.members.get(&peer).map(SocketAddr::ip) != Some(sender.ip()) {
+        drop(guard);
+        reject_config_place(shared, sender, &report);
         return;
     }
     let loads: BTreeMap<u32, BackendLoad> = report.loads.iter().map(parse_server_load).collect();
@@ -205,6 +212,7 @@
     drop(guard);
     merge_limit_reports(shared, &peer, &report.limits);
     merge_leaving_reports(shared, &peer, &report.leaving);
+    merge_config_place(shared, &peer, &report);
     for evidence in parse_reports(now, &report) {
         merge_peer_evidence(shared, &peer, &evidence);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,13 @@
     pub(crate) body_bytes: IntGauge,
     pub(crate) unreadable_entries: IntCounterVec,
     pub(crate) config_version: IntGauge,
+    pub(crate) config_pulls: IntCounterVec,
+    pub(crate) config_copies: IntCounter,
+    pub(crate) config_strangers: IntCounter,
+    pub(crate) accounts: IntGauge,
+    pub(crate) unreadable_accounts: IntGauge,
+    pub(crate) account_requests: IntCounterVec,
+    pub(crate) account_refusals: IntCounterVec,
     pub(crate) latencies: LatencyMetrics,
 }
 
@@ -56,6 +63,12 @@
         let resumes_help = "Streams that callers take up, by where their version was learned";
         let dropped_help = "Streams whose version was dropped since the table was full";
         let unreadable_help = "Values read from the store that could not be parsed";
+        let pulls_help = "Configurations asked of peers by what came of it";
+        let copies_help = "Copies of the configuration handed to peers";
+        let strangers_help = "Messages about configurations from processes that are no gateways";
+        let odd_accounts_help = "Accounts of the configuration that are left out";
+        let account_requests_help = "Requests of the largest accounts";
+        let account_refusals_help = "Requests of the largest accounts refused or failed";
         let tokens_help = "Tokens for requests to limited backend servers";
         let verdicts_help = "Verdicts on requests suspected of crashing backend servers";
         Self {
@@ -96,6 +109,21 @@
                 "kind",
             ),
             config_version: set.gauge("config_version", "Version of the configuration in force"),
+            config_pulls: set.counter_vec("config_pulls_total", pulls_help, "outcome"),
+            config_copies: set.counter("config_copies_total", copies_help),
+            config_strangers: set.counter("config_strangers_total", strangers_help),
+            accounts: set.gauge("accounts", "Accounts of the configuration in force"),
+            unreadable_accounts: set.gauge("unreadable_accounts", odd_accounts_help),
+            account_requests: set.counter_vec(
+                "account_requests_total",
+                account_requests_help,
+                "account",
+            ),
+            account_refusals: set.counter_vec(
+                "account_refusals_total",
+                account_refusals_help,
+                "account",
+            ),
             latencies: LatencyMetrics::new(&set),
             set,
         }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -14,6 +14,7 @@
     json_response, //
 };
 
+use crate::accounts::account_metrics::publish_accounts;
 use crate::shared::GatewayShared;
 
 /// Answers a readiness probe of the load balancer.
@@ -46,5 +47,6 @@
 ) -> Response<ResponseBody> {
     let held = i64::try_from(shared.bodies.held_bytes()).unwrap_or(i64::MAX);
     shared.metrics.body_bytes.set(held);
+    publish_accounts(&shared.metrics, &shared.account_counts());
     Response::new(bytes_body(shared.metrics.to_text()))
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -24,9 +25,13 @@
     DecisionRecord, //
 };
 use platform::RequestMetadata;
-use policy::RouteTable;
+use policy::{
+    CallerAccount,
+    RouteTable, //
+};
 use tokio::time::{
     Instant,
+    timeout,
     timeout_at, //
 };
 use web::{
@@ -35,6 +40,10 @@
     WebError, //
 };
 
+use crate::accounts::account_metrics::{
+    count_refusal,
+    count_request, //
+};
 use crate::attempt::AttemptError;
 use crate::drain::{
     DrainRequest,
@@ -60,6 +69,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Shortest delay before a retry of a request for whose body no memory is left.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Time in which the rest of the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves one request of a caller.
 pub(crate) async fn serve_request(
@@ -76,10 +87,12 @@
         started,
         is_answered: false,
     };
-    let result = route_request(&shared, started, head, metadata, body).await;
+    let mut caller = CallerAccount::Unmanaged;
+    let result = route_request(&shared, started, head, metadata, body, &mut caller).await;
     guard.is_answered = true;
     let mut response = result.unwrap_or_else(|error| {
-        log_request_error(&shared, &id, error, started);
+        count_refusal(&shared, &caller);
+        log_request_error(&shared, &id, &caller, error, started);
         error.response()
     });
     // In the version of a server that speaks HTTP/1.0, a body that ends early would look complete.
@@ -114,13 +127,15 @@
     }
 }
 
-/// Checks a request against the configuration and its limits, and serves it by the matching route.
+/// Checks a request against the configuration and its limits, and serves it by the matching route. Sets
+/// `caller` as soon as the account is known.
 async fn route_request(
     shared: &Arc<GatewayShared>,
     started: Instant,
     head: Parts,
     metadata: RequestMetadata,
     body: Incoming,
+    caller: &mut CallerAccount,
 ) -> Result<Response<ResponseBody>, RequestError> {
     let table = shared.lock().table.clone();
     let table = table.ok_or(RequestError::NotConfigured)?;
@@ -131,7 +146,12 @@
     let rule = table.find(host, head.uri.path()).cloned();
     let rule = rule.ok_or(RequestError::NoRoute)?;
     let account = table.identify_caller(&rule, &metadata.key);
-    let account = account.ok_or(RequestError::UnknownCaller)?;
+    let Some(account) = account else {
+        tokio::spawn(discard_body(body, table.limits.max_body_bytes));
+        return Err(RequestError::UnknownCaller);
+    };
+    caller.clone_from(&account);
+    count_request(shared, &account);
     let kind = rule.kind.as_str();
     shared.metrics.requests.with_label_values(&[kind]).inc();
     let deadline = started + rule.timeout.min(metadata.timeout.unwrap_or(rule.timeout));
@@ -239,7 +259,28 @@
     }
 }
 
-fn log_request_error(shared: &GatewayShared, id: &str, error: RequestError, started: Instant) {
+/// Reads the body of a request that is refused at once, so that its connection can be used again.
+async fn discard_body(mut body: Incoming, limit_bytes: usize) {
+    let reading = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > limit_bytes {
+                return;
+            }
+        }
+    };
+    // The connection is closed if the rest does not arrive in time.
+    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+}
+
+fn log_request_error(
+    shared: &GatewayShared,
+    id: &str,
+    caller: &CallerAccount,
+    error: RequestError,
+    started: Instant,
+) {
     let name = error.as_str();
     shared.metrics.refusals.with_label_values(&[name]).inc();
     let delay = error.retry_after().map(|delay| delay.as_millis() as u64);
@@ -248,5 +289,9 @@
         .input("retry_after_ms", delay)
         .input("held_ms", started.elapsed().as_millis() as u64)
         .failure();
+    let record = match caller.name() {
+        Some(account) => record.input("account", account.as_str()),
+        None => record,
+    };
     shared.log.write(record);
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -18,6 +18,7 @@
 use logs::LogSink;
 use platform::KeyStore;
 use policy::{
+    AccountCounts,
     AnswerTimes,
     BackendFleet,
     DecodeSpeed,
@@ -52,6 +53,7 @@
     ConnectionPool, //
 };
 
+use crate::accounts::config_sharing::ConfigSharing;
 use crate::drain::start_window;
 use crate::metrics::GatewayMetrics;
 use crate::store::membership::HeldLeases;
@@ -132,6 +134,8 @@
     pub(crate) era: EraState,
     /// Keys in the store that cannot be read.
     pub(crate) unreadable_entries: UnreadableEntries,
+    /// Position of the configuration in force, and what the peers have.
+    pub(crate) config_sharing: ConfigSharing,
 }
 
 fn retry_limits(settings: &GatewaySettings) -> RetryLimits {
@@ -162,6 +166,10 @@
     pub(crate) crash_outcomes: Notify,
     /// Wakes the task that writes evidence on suspects to the store.
     pub(crate) suspect_writes: Notify,
+    /// Whether peers may get the configuration, as soon as one has held accounts.
+    pub(crate) shares_configs: watch::Sender<bool>,
+    /// Wakes the task that asks peers for configurations when a peer has a later one.
+    pub(crate) config_claims: Notify,
     /// Software versions that began streams.
     pub(crate) origins: OriginState,
     /// Socket for datagrams to the other gateways, once it is bound.
@@ -175,6 +183,8 @@
     /// Whether the grace period is over, so that the answers under way are cut.
     is_cutting: AtomicBool,
     state: Mutex<GatewayState>,
+    /// Requests by account.
+    account_counts: Mutex<AccountCounts>,
     /// Idle connections to backend servers.
     pool: Mutex<ConnectionPool>,
 }
@@ -208,18 +218,22 @@
                 store_health: StoreHealth::default(),
                 era: EraState::default(),
                 unreadable_entries: UnreadableEntries::default(),
+                config_sharing: ConfigSharing::default(),
             }),
             peer_news: Notify::new(),
             token_demand: Notify::new(),
             token_news: Notify::new(),
             crash_outcomes: Notify::new(),
             suspect_writes: Notify::new(),
+            shares_configs: watch::Sender::new(false),
+            config_claims: Notify::new(),
             origins: OriginState::default(),
             exchange_socket: OnceLock::new(),
             eras: watch::Sender::new(None),
             bodies: BodyBudget::new(settings.body_bytes()),
             drain: watch::Sender::new(None),
             is_cutting: AtomicBool::new(false),
+            account_counts: Mutex::default(),
             pool: Mutex::new(ConnectionPool::default()),
             settings,
         }
@@ -235,6 +249,13 @@
         self.pool.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Locks the requests by account, even if a panic has poisoned the lock.
+    pub(crate) fn account_counts(&self) -> MutexGuard<'_, AccountCounts> {
+        self.account_counts
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Starts the graceful shutdown. Returns its grace period.
     pub(crate) fn start_drain(&self) -> Duration {
         let grace = self.lock().grace;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,5 +1,6 @@
 //! Calls of the platform's store, and the keys of the gateways there.
 
+pub(crate) mod config_change;
 pub(crate) mod membership;
 pub(crate) mod planner_lease;
 pub(crate) mod store_call;
--- a/crates/gateway/src/store/store_watch.rs
+++ b/crates/gateway/src/store/store_watch.rs
@@ -4,32 +4,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use logs::{
-    DecisionKind,
-    DecisionRecord, //
-};
 use platform::{
     BACKEND_PREFIX,
     CONFIG_KEY,
     KeyChange,
     KeyRange,
-    KeyValue,
     PlatformError,
-    StoreRevision,
-    parse_configuration, //
+    StoreRevision, //
 };
-use policy::AccountTable;
 use tokio::time::{
     Instant,
     sleep, //
 };
-use web::ConnectionLimits;
+use units::StoreEra;
 
 use crate::servers::backend_entries::{
     apply_backend_change,
     replace_backends, //
 };
 use crate::shared::GatewayShared;
+use crate::store::config_change::{
+    ConfigSource,
+    apply_config, //
+};
 use crate::store::membership::{
     GATEWAY_PREFIX,
     apply_member_change,
@@ -41,8 +38,6 @@
     track_store_call, //
 };
 use crate::store::store_era::next_load;
-use crate::store::unreadable_entries::UnreadableKind;
-use crate::store::unreadable_report::report_unreadable;
 use crate::suspects::suspect_record::SUSPECT_PREFIX;
 use crate::suspects::suspect_store::{
     apply_suspect_change,
@@ -118,10 +113,10 @@
     replace_origins(shared, &members.items);
     record_position(shared, members.revision);
     let config = load_range(shared, CONFIG_KEY).await?;
-    config
-        .items
-        .iter()
-        .for_each(|item| apply_config(shared, item));
+    let items = config.items.iter();
+    for item in items.filter(|item| item.key == CONFIG_KEY) {
+        apply_config(shared, item, config.revision.era, ConfigSource::Store);
+    }
     let backends = load_range(shared, BACKEND_PREFIX).await?;
     replace_backends(shared, &backends.items);
     Ok(WatchPosition {
@@ -149,7 +144,7 @@
     check_era(shared, updates.revision)?;
     let is_empty = updates.changes.is_empty();
     for change in updates.changes {
-        apply_change(shared, change);
+        apply_change(shared, change, updates.revision.era);
     }
     record_position(shared, updates.revision);
     if !is_empty {
@@ -161,7 +156,7 @@
     })
 }
 
-fn apply_change(shared: &GatewayShared, change: KeyChange) {
+fn apply_change(shared: &GatewayShared, change: KeyChange, era: Option<StoreEra>) {
     let key = change.key();
     if key.starts_with(BACKEND_PREFIX) {
         apply_backend_change(shared, change);
@@ -171,55 +166,9 @@
         apply_origin_change(shared, &change);
     } else if key.starts_with(GATEWAY_PREFIX) {
         apply_member_change(shared, &change);
-    } else if let KeyChange::Written(item) = &change {
-        apply_config(shared, item);
-    }
-}
-
-fn apply_config(shared: &GatewayShared, item: &KeyValue) {
-    if item.key != CONFIG_KEY {
-        return;
-    }
-    let parsed = match parse_configuration(&item.value) {
-        Ok(parsed) => parsed,
-        Err(error) => {
-            let cause = error.to_string();
-            return report_unreadable(shared, UnreadableKind::Configuration, item, &cause);
-        }
-    };
-    let table = parsed.table;
-    let version = table.version;
-    let longest_timeout = table.longest_timeout();
-    let mut state = shared.lock();
-    let before = state.table.as_ref().map(|table| table.version);
-    if before.is_some_and(|before| version <= before) {
-        return;
+    } else if let KeyChange::Written(item) = &change
+        && key == CONFIG_KEY
+    {
+        apply_config(shared, item, era, ConfigSource::Store);
     }
-    let routes = table.len();
-    let accounts = table.accounts.as_ref().map(AccountTable::len);
-    let ambiguous_keys = table.accounts.as_ref().map(AccountTable::ambiguous_keys);
-    let limits = ConnectionLimits {
-        max_header_bytes: table.limits.max_header_bytes,
-        header_timeout: table.limits.header_timeout,
-        idle_timeout: table.limits.idle_timeout,
-    };
-    state.table = Some(Arc::new(table));
-    drop(state);
-    let history = &mut shared.origins.lock().history;
-    history.set_longest_timeout(longest_timeout);
-    shared.connection_limits.send_replace(limits);
-    shared.metrics.config_version.set(version.0 as i64);
-    let record = DecisionRecord::new(DecisionKind::Config, "configuration applied")
-        .chosen(version)
-        .input("before", before.map(|version| version.0))
-        .input("revision", item.revision)
-        .input("routes", routes);
-    let record = match accounts {
-        Some(accounts) => record
-            .input("accounts", accounts)
-            .input("unreadable_accounts", parsed.unreadable_accounts)
-            .input("ambiguous_keys", ambiguous_keys),
-        None => record,
-    };
-    shared.log.write(record);
 }
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod config;
+mod config_copy;
 mod gateway_load;
 mod generate;
 mod load;
@@ -17,6 +18,8 @@
 pub use config::ConfigDocument;
 pub use config::ConfigRequest;
 pub use config::CrashNotice;
+pub use config_copy::ConfigCopy;
+pub use config_copy::ConfigPlace;
 pub use gateway_load::CrashReport;
 pub use gateway_load::CrashStateCode;
 pub use gateway_load::GatewayLoad;
--- a/crates/wire/src/messages/gateway_load.rs
+++ b/crates/wire/src/messages/gateway_load.rs
@@ -1,6 +1,9 @@
 //! Datagrams in which gateways report their in-flight load to each other.
 
-use super::LimitReport;
+use super::{
+    ConfigPlace,
+    LimitReport, //
+};
 
 /// In-flight load of one gateway on one backend server.
 #[derive(Clone, PartialEq)]
@@ -131,4 +134,7 @@
     /// Backend servers that have said that they leave.
     #[prost(message, repeated, tag = "10")]
     pub leaving: Vec<LeavingServer>,
+    /// Position of the configuration in force, if configurations are shared.
+    #[prost(message, optional, tag = "11")]
+    pub config: Option<ConfigPlace>,
 }
