--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -35,6 +35,10 @@
     ServerLoad, //
 };
 
+use crate::accounts::config_claims::{
+    merge_config_place,
+    reject_config_place, //
+};
 use crate::clock::ClockReading;
 use crate::servers::leaving_servers::{
     leaving_reports,
@@ -146,6 +150,7 @@
     report.leaving = leaving_reports(state);
     let usage = shared.usage.as_ref();
     report.unix_ms = usage.map(|_| ClockReading::take().unix_ms);
+    report.config = state.config_sharing.place();
     report
 }
 
@@ -202,6 +207,8 @@
     let state = &mut *guard;
     // Accepts reports only from the IP address under which the peer is registered in the store.
     if state.members.get(&peer).map(SocketAddr::ip) != Some(sender.ip()) {
+        drop(guard);
+        reject_config_place(shared, sender, &report);
         return;
     }
     if let (Some(usage), Some(unix_ms)) = (&shared.usage, report.unix_ms) {
@@ -215,6 +222,7 @@
     drop(guard);
     merge_limit_reports(shared, &peer, &report.limits);
     merge_leaving_reports(shared, &peer, &report.leaving);
+    merge_config_place(shared, &peer, &report);
     for evidence in parse_reports(now, &report) {
         merge_peer_evidence(shared, &peer, &evidence);
     }
--- a/crates/wire/src/messages/gateway_load.rs
+++ b/crates/wire/src/messages/gateway_load.rs
@@ -1,6 +1,9 @@
 //! Datagrams in which gateways report their in-flight load to each other.
 
-use super::LimitReport;
+use super::{
+    ConfigPlace,
+    LimitReport, //
+};
 
 /// In-flight load of one gateway on one backend server.
 #[derive(Clone, PartialEq)]
@@ -131,6 +134,9 @@
     /// Backend servers that have said that they leave.
     #[prost(message, repeated, tag = "10")]
     pub leaving: Vec<LeavingServer>,
+    /// Position of the configuration in force, if configurations are shared.
+    #[prost(message, optional, tag = "11")]
+    pub config: Option<ConfigPlace>,
     /// Time of day of the sender, in milliseconds since the Unix epoch, where gateways report usage.
     #[prost(uint64, optional, tag = "15")]
     pub unix_ms: Option<u64>,
