gateway: one line for each question to a peer, with what is known of it

Change: the line about a question holds the claims, the age of the first one, the claimed and the own version, the outcome and its cause.

--- a/crates/gateway/src/accounts/config_claims.rs
+++ b/crates/gateway/src/accounts/config_claims.rs
@@ -2,10 +2,6 @@
 
 use std::net::SocketAddr;
 
-use logs::{
-    DecisionKind,
-    DecisionRecord, //
-};
 use tokio::time::Instant;
 use units::InstanceId;
 use wire::GatewayLoad;
@@ -28,21 +24,10 @@
     let is_new = sharing
         .claims
         .record(Instant::now(), peer, position, own.as_ref());
-    let is_first = is_new && sharing.claims.len() == 1;
     drop(state);
     if is_new {
         shared.config_claims.notify_one();
     }
-    if is_first {
-        let record = DecisionRecord::new(DecisionKind::Config, "peer has a later configuration")
-            .considered(vec![peer.to_string()])
-            .input("version", position.version.0)
-            .input("revision", position.revision)
-            .input("era", position.era.map(|era| era.0))
-            .input("own_version", own.map(|own| own.version.0))
-            .input("own_revision", own.map(|own| own.revision));
-        shared.log.write(record);
-    }
 }
 
 /// Records a load report that tells of a configuration and comes from no gateway.
--- a/crates/gateway/src/accounts/config_pull.rs
+++ b/crates/gateway/src/accounts/config_pull.rs
@@ -62,7 +62,8 @@
 }
 
 async fn pull_once(shared: &GatewayShared) {
-    let (peer, address) = {
+    let asked_at = Instant::now();
+    let (peer, address, record) = {
         let mut guard = shared.lock();
         let state = &mut *guard;
         let own = state.config_sharing.position;
@@ -73,9 +74,18 @@
             return;
         };
         let address = state.members.get(&peer).copied();
-        (peer, address)
+        let claims = &state.config_sharing.claims;
+        let claimed = claims.claimed_by(&peer);
+        let waited = claims.waiting_time(asked_at);
+        let record = DecisionRecord::new(DecisionKind::Config, "peer asked for its configuration")
+            .chosen(&peer)
+            .input("claims", claims.len())
+            .input("age_ms", waited.map(|time| time.as_millis() as u64))
+            .input("claimed_version", claimed.map(|claimed| claimed.version.0))
+            .input("before", own.map(|own| own.version.0))
+            .input("store_down", state.store_health.is_down());
+        (peer, address, record)
     };
-    let asked_at = Instant::now();
     let outcome = match address {
         Some(address) => pull_from(shared, &peer, address).await,
         None => PullOutcome::Unreachable("no gateway according to the store"),
@@ -87,15 +97,12 @@
             .claims
             .record_failure(Instant::now(), &peer);
     }
-    let own_version = state.config_sharing.position.map(|own| own.version.0);
-    let is_store_down = state.store_health.is_down();
     drop(state);
     let pulls = &shared.metrics.config_pulls;
     pulls.with_label_values(&[outcome.as_str()]).inc();
-    let record = DecisionRecord::new(DecisionKind::Config, outcome.reason())
-        .chosen(&peer)
-        .input("own_version", own_version)
-        .input("store_down", is_store_down)
+    let record = record
+        .input("outcome", outcome.as_str())
+        .input("cause", outcome.cause())
         .input("taken_ms", asked_at.elapsed().as_millis() as u64);
     shared.log.write(match outcome {
         PullOutcome::Applied | PullOutcome::NotLater => record,
@@ -123,12 +130,13 @@
         }
     }
 
-    fn reason(self) -> &'static str {
+    /// Returns why nothing was applied, for the log.
+    fn cause(self) -> Option<&'static str> {
         match self {
-            Self::Applied => "configuration of a peer applied",
-            Self::NotLater => "configuration of a peer is not later than the own one",
-            Self::Unreadable => "configuration of a peer cannot be read and has no effect",
-            Self::Unreachable(reason) => reason,
+            Self::Applied => None,
+            Self::NotLater => Some("not later than the own configuration"),
+            Self::Unreadable => Some("not a whole configuration"),
+            Self::Unreachable(cause) => Some(cause),
         }
     }
 }
@@ -136,10 +144,10 @@
 async fn pull_from(shared: &GatewayShared, peer: &InstanceId, address: SocketAddr) -> PullOutcome {
     let request = HttpRequest::new(address, Method::GET, CONFIG_PATH);
     let Ok(response) = send_request(request, MAX_COPY_BYTES, PULL_TIMEOUT).await else {
-        return PullOutcome::Unreachable("peer did not hand over its configuration");
+        return PullOutcome::Unreachable("no answer in time");
     };
     if response.status != StatusCode::OK {
-        return PullOutcome::Unreachable("peer refused to hand over its configuration");
+        return PullOutcome::Unreachable("the peer shares none");
     }
     let Ok(copy) = ConfigCopy::decode(response.body) else {
         return PullOutcome::Unreadable;
--- a/crates/policy/src/config_claims.rs
+++ b/crates/policy/src/config_claims.rs
@@ -132,6 +132,17 @@
         }
     }
 
+    /// Returns the position that a peer claims.
+    pub fn claimed_by(&self, peer: &InstanceId) -> Option<ConfigPosition> {
+        self.claims.get(peer).map(|claim| claim.latest.0)
+    }
+
+    /// Returns the time since a configuration that this process lacks was first heard of.
+    pub fn waiting_time(&self, now: Instant) -> Option<Duration> {
+        let since = self.claims.values().map(|claim| claim.first.1).min();
+        since.map(|since| now.saturating_duration_since(since))
+    }
+
     /// Returns the number of claims.
     pub fn len(&self) -> usize {
         self.claims.len()
