gateway, policy: windows with lost counts are given up, silent gateways are not waited for

Cause: after 11 of 12 gateways had lost power, the one left reported a window without what the others had counted (off by 626 of 2,000). Change: a window is given up if the share of the gateways whose counts may be unknown is above what the report may be off by; gateways that are silent since before the window began are not waited for.

--- a/crates/policy/src/usage/report_planner.rs
+++ b/crates/policy/src/usage/report_planner.rs
@@ -39,6 +39,8 @@
     pub window: Duration,
     /// Time after the end of a window in which its report is due.
     pub late: Duration,
+    /// Share of the requests that a report may be off by.
+    pub error: f64,
     /// Least time between two calls.
     pub call_interval: Duration,
 }
@@ -56,6 +58,8 @@
     pub era: Option<StoreEra>,
     /// When this gateway learned of the era.
     pub era_since: TrueTime,
+    /// Since when this gateway has counted.
+    pub own_since: TrueTime,
     /// What all gateways have counted.
     pub collector: &'a UsageCollector,
     /// Gateways that are registered.
@@ -220,9 +224,9 @@
             } else if fixed.era != view.era && end <= view.era_since.after(RESTORE_MARGIN) {
                 // The key may be an earlier copy, made before the window was fixed.
                 "store_restored"
-            } else if waits && !view.collector.behind(view.members, settled).is_empty() {
+            } else if waits && self.awaits_counts(view, start, settled) {
                 return None;
-            } else if view.collector.has_counted(start, end) {
+            } else if view.collector.unknown_share(start, end, view.own_since) <= self.rules.error {
                 return Some(window);
             } else if waits {
                 return None;
@@ -235,6 +239,12 @@
         }
     }
 
+    /// Returns whether some gateway may still tell of requests that began between two times.
+    fn awaits_counts(&self, view: &ReportView<'_>, start: TrueTime, end: TrueTime) -> bool {
+        let awaited = view.collector.awaited(view.members, start, end);
+        !awaited.is_empty()
+    }
+
     /// Returns the step that fixes a window.
     fn fix(
         &mut self,
--- a/crates/policy/src/usage/usage_collector.rs
+++ b/crates/policy/src/usage/usage_collector.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct UsageCollector {
     runs: BTreeMap<(InstanceId, IncarnationId), CollectedRun>,
+    /// When each registered gateway was first seen.
+    seen: BTreeMap<InstanceId, TrueTime>,
 }
 
 impl UsageCollector {
@@ -107,27 +109,53 @@
         usage
     }
 
-    /// Returns the gateways among `members` that have not told of all that they counted up to `time`.
-    pub fn behind<'a>(
+    /// Returns the gateways among `members` that may still tell of requests which began between `start` and
+    /// `end`. One that has been silent since before `start` is not expected to.
+    pub fn awaited<'a>(
         &self,
         members: impl IntoIterator<Item = &'a InstanceId>,
-        time: TrueTime,
+        start: TrueTime,
+        end: TrueTime,
     ) -> BTreeSet<InstanceId> {
-        let has_told = |member: &InstanceId| {
-            let mut runs = self.runs.iter();
-            runs.any(|((gateway, _), run)| gateway == member && run.until >= time)
-        };
+        let mut counted: BTreeMap<&InstanceId, TrueTime> = BTreeMap::new();
+        for ((gateway, _), run) in &self.runs {
+            let until = counted.entry(gateway).or_default();
+            *until = run.until.max(*until);
+        }
         let members = members.into_iter();
-        members
-            .filter(|member| !has_told(member))
-            .cloned()
-            .collect()
+        let awaited = members.filter(|member| {
+            let until = counted.get(member);
+            until.is_none_or(|until| (start..end).contains(until))
+        });
+        awaited.cloned().collect()
+    }
+
+    /// Records the registered gateways, so that new ones are told from those that were there before.
+    pub fn record_members(&mut self, now: TrueTime, members: &BTreeSet<InstanceId>) {
+        self.seen.retain(|member, _| members.contains(member));
+        for member in members {
+            self.seen.entry(member.clone()).or_insert(now);
+        }
     }
 
-    /// Returns whether some gateway has counted from `start` up to `end`, so that the window between is not
-    /// one in which all of them were lost.
-    pub fn has_counted(&self, start: TrueTime, end: TrueTime) -> bool {
+    /// Returns the share of the gateways whose counts of a window may be unknown to this one, which has
+    /// counted since `own_since`. A gateway that was there when the window began, and of which no run since
+    /// then is known, may have been lost with its counts.
+    pub fn unknown_share(&self, start: TrueTime, end: TrueTime, own_since: TrueTime) -> f64 {
         let mut runs = self.runs.values();
-        runs.any(|run| run.since <= start && run.until >= end)
+        if !runs.any(|run| run.since <= start && run.until >= end) {
+            return 1.0;
+        }
+        let mut known: BTreeSet<&InstanceId> = BTreeSet::new();
+        for ((gateway, _), run) in &self.runs {
+            if run.since <= start {
+                known.insert(gateway);
+            }
+        }
+        let unknown = self.seen.iter().filter(|(member, seen_at)| {
+            let is_new = own_since <= start && **seen_at > start;
+            !is_new && !known.contains(member)
+        });
+        unknown.count() as f64 / self.seen.len().max(1) as f64
     }
 }
