gateway: requests that arrive while a gateway loads are held, not refused

Cause: a gateway that starts answers 503 with Retry-After 0.5 s until it has the configuration, and after that, until it has the backend servers, 503 with 0.3 s. After the loss of all gateways everyone calls gateways that start.

Change: `loading.rs` holds a request until the first load is complete, but no longer than the delay that its caller would be told (0.5 s) or a third of its timeout. Then it is refused as before. A gateway that loads stays unready.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod latency;
 mod load_exchange;
+mod loading;
 mod metrics;
 mod overview;
 mod plain;
--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -66,7 +66,7 @@
 /// gateway, or for this one to return.
 const DRAINING_RETRY_DELAY: Duration = Duration::from_millis(1_500);
 /// Delay before a retry while no configuration has been loaded.
-const UNCONFIGURED_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(crate) const UNCONFIGURED_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 impl RequestError {
     /// Returns the error's name in responses, logs and metrics.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -42,6 +42,7 @@
     accepts_request,
     give_up, //
 };
+use crate::loading::loaded_table;
 use crate::plain::serve_plain;
 use crate::request::RequestContext;
 use crate::request_error::{
@@ -122,8 +123,7 @@
     metadata: RequestMetadata,
     body: Incoming,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let table = shared.lock().table.clone();
-    let table = table.ok_or(RequestError::NotConfigured)?;
+    let table = loaded_table(shared, started, metadata.timeout).await?;
     if head_bytes(&head) > table.limits.max_header_bytes {
         return Err(RequestError::HeaderTooLarge);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -150,6 +150,8 @@
     pub(crate) log: LogSink,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) store: KeyStore,
+    /// Whether the configuration and the backend servers have been read.
+    pub(crate) loaded: watch::Sender<bool>,
     /// Limits on callers' connections from the configuration.
     pub(crate) connection_limits: watch::Sender<ConnectionLimits>,
     /// Wakes the task that reports to the peers when evidence on suspects or a limit is news to them.
@@ -187,6 +189,7 @@
             started_at: Instant::now(),
             log,
             metrics: GatewayMetrics::new(),
+            loaded: watch::Sender::new(false),
             connection_limits: watch::Sender::new(DEFAULT_CONNECTION_LIMITS),
             state: Mutex::new(GatewayState {
                 table: None,
--- a/crates/gateway/src/store/store_watch.rs
+++ b/crates/gateway/src/store/store_watch.rs
@@ -124,6 +124,7 @@
         .for_each(|item| apply_config(shared, item));
     let backends = load_range(shared, BACKEND_PREFIX).await?;
     replace_backends(shared, &backends.items);
+    shared.loaded.send_replace(true);
     Ok(WatchPosition {
         revision: members.revision,
         loaded_at,
