policy, gateway: a late prompt that is short beside those queued keeps its place

Cause: a prompt that is expected to miss its target is prefilled after all others, also one of 8 ms behind prompts of 80 and more. With accounts the rank of the account applies, so that hardly any prompt is of rank 0, which is never put last.

Change: `PromptUrgency::position_among`: a prompt that takes at most half of the mean prefill time of the prompts queued on its engine keeps the position of its rank. Where all prompts are of one size, nothing changes.

Tests: position_among_overload_of_long_prompts (with the earlier rule fewer than half of the questions start before their callers leave; now over 95 in 100, and drafts lose at most 5 in 100), position_among_overload_of_one_size.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,6 +26,7 @@
     RequestMetadata, //
 };
 use policy::{
+    BackendLoad,
     BackendSelection,
     CallerAccount,
     EngineCapacity,
@@ -121,15 +122,18 @@
         }
     }
 
-    /// Returns the queue position of the prompt on the selected prefill engine.
+    /// Returns the queue position of the prompt on the selected prefill engine, whose load is `queued`.
     pub(crate) fn queue_position(
         &self,
         selection: &BackendSelection,
         capacity: EngineCapacity,
+        queued: BackendLoad,
     ) -> QueuePosition {
         let start = self.started.elapsed() + selection.expected_wait;
         let prefill_time = capacity.prefill_time(selection.uncached_tokens);
-        self.urgency().position_at(start, prefill_time)
+        let mean_queued = capacity.prefill_time(queued.mean_prompt_tokens());
+        let urgency = self.urgency();
+        urgency.position_among(start, prefill_time, mean_queued)
     }
 
     /// Returns the expected number of output tokens: the caller's estimate, capped at its limit, or
--- a/crates/gateway/src/streams/prefill.rs
+++ b/crates/gateway/src/streams/prefill.rs
@@ -122,7 +122,9 @@
     let position = if history.has_begun {
         context.urgency().resumed_position()
     } else {
-        context.queue_position(&selection, capacity)
+        let view = state.fleet.get(&selection.instance);
+        let queued = view.map_or(BackendLoad::NONE, |view| view.total_load());
+        context.queue_position(&selection, capacity, queued)
     };
     let engine = record_selection(
         context,
--- a/crates/policy/src/backend_load.rs
+++ b/crates/policy/src/backend_load.rs
@@ -21,6 +21,13 @@
         kv_cache_tokens: 0,
     };
 
+    /// Returns the mean number of prompt tokens that wait for prefill for each in-flight request.
+    pub fn mean_prompt_tokens(&self) -> u32 {
+        let requests = u64::from(self.requests.max(1));
+        let mean = self.prefill_backlog.total_tokens() / requests;
+        u32::try_from(mean).unwrap_or(u32::MAX)
+    }
+
     /// Adds another load.
     pub fn add(&mut self, load: Self) {
         self.requests += load.requests;
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -13,6 +13,9 @@
 /// priorities after smaller prompts of its rank.
 const TARGET_SHARE_STEPS: [f64; 2] = [0.25, 0.7];
 
+/// Share of the mean prefill time of the queued prompts up to which a prompt counts as short beside them.
+const SHORT_PROMPT_SHARE: f64 = 0.5;
+
 /// Properties of a request's route that decide the queue position of its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptUrgency {
@@ -49,6 +52,21 @@
         }
     }
 
+    /// Returns the queue position of a prompt on an engine whose queued prompts take `mean_queued` each
+    /// on average. A prompt that is short beside those keeps the position of its rank even if it is
+    /// late: it delays them by little, and behind all of them its caller would leave before it starts.
+    pub fn position_among(
+        self,
+        prefill_start: Duration,
+        prefill_time: Duration,
+        mean_queued: Duration,
+    ) -> QueuePosition {
+        if prefill_time <= mean_queued.mul_f64(SHORT_PROMPT_SHARE) {
+            return self.position();
+        }
+        self.position_at(prefill_start, prefill_time)
+    }
+
     /// Returns the queue position given by the rank alone.
     pub fn position(self) -> QueuePosition {
         QueuePosition::for_rank(self.rank)
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -114,6 +114,83 @@
     assert!(DRAFT.will_miss_target(Duration::from_millis(500), prefill_time));
 }
 
+/// Prefill time of a short question, and the target of its callers, who leave if it has not started
+/// after a while.
+const QUESTION_PREFILL: Duration = Duration::from_millis(8);
+const QUESTION: PromptUrgency = PromptUrgency {
+    rank: 1,
+    target: Duration::from_millis(250),
+};
+const QUESTION_LEAVE_TIME: Duration = Duration::from_secs(2);
+
+/// Shares of drafts that are prefilled within their target and of questions that start before their
+/// callers leave. Drafts arrive faster than the engine can prefill them, and of four prompts one is a question.
+fn shares_beside_questions(
+    decide: impl Fn(PromptUrgency, Duration, Duration, Duration) -> QueuePosition,
+) -> (f64, f64) {
+    let mut queue: Vec<(QueuePosition, Duration, Duration)> = Vec::new();
+    let (mut clock, mut arrived) = (Duration::ZERO, Vec::new());
+    for number in 0..400_u32 {
+        let (urgency, prefill) = match number % 4 {
+            0 => (QUESTION, QUESTION_PREFILL),
+            _ => (DRAFT, PREFILL),
+        };
+        arrived.push((PREFILL * number * 3 / 5, urgency, prefill));
+    }
+    let (mut drafts, mut questions) = (0, 0);
+    let mut next = arrived.into_iter().peekable();
+    while next.peek().is_some() || !queue.is_empty() {
+        while let Some((at, urgency, prefill)) = next.next_if(|(at, ..)| *at <= clock) {
+            let ahead = queue
+                .iter()
+                .filter(|queued| queued.0 != QueuePosition::LAST);
+            let wait = ahead.map(|queued| queued.2).sum::<Duration>() + (clock - at);
+            let all: Duration = queue.iter().map(|queued| queued.2).sum();
+            let mean = all / queue.len().max(1) as u32;
+            queue.push((decide(urgency, wait, prefill, mean), at, prefill));
+        }
+        // Callers of questions that have not started leave.
+        queue.retain(|(_, at, prefill)| {
+            *prefill != QUESTION_PREFILL || clock - *at < QUESTION_LEAVE_TIME
+        });
+        if queue.is_empty() {
+            clock = next.peek().map_or(clock, |(at, ..)| clock.max(*at));
+            continue;
+        }
+        let first = (0..queue.len()).min_by_key(|at| (queue[*at].0, queue[*at].1));
+        let (_, at, prefill) = queue.remove(first.unwrap());
+        clock += prefill;
+        match prefill == QUESTION_PREFILL {
+            true => questions += 1,
+            false => drafts += u32::from(clock - at <= DRAFT.target),
+        }
+    }
+    (f64::from(drafts) / 300.0, f64::from(questions) / 100.0)
+}
+
+/// Guards against short prompts that wait behind all long ones until their callers leave, while long ones
+/// of the same rank arrive faster than the engine can prefill them.
+#[test]
+fn position_among_overload_of_long_prompts() {
+    let (drafts_before, questions_before) =
+        shares_beside_questions(|urgency, wait, prefill, _| urgency.position_at(wait, prefill));
+    let (drafts, questions) = shares_beside_questions(PromptUrgency::position_among);
+    assert!(questions_before < 0.5, "{questions_before}");
+    assert!(questions > 0.95, "{questions}");
+    assert!(drafts > drafts_before - 0.05, "{drafts} of {drafts_before}");
+}
+
+/// Guards against short prompts that all keep their position, and are all late, where they are the overload.
+#[test]
+fn position_among_overload_of_one_size() {
+    let share = on_time_share(PREFILL / 2, Duration::from_secs(20), |start| {
+        let position = DRAFT.position_among(start, PREFILL, PREFILL);
+        DRAFT.priority(position, PREFILL)
+    });
+    // The engine can prefill half of the arriving prompts.
+    assert!(share > 0.8 * 0.5, "{share}");
+}
+
 #[test]
 fn prompt_urgency_order_by_rank_then_size() {
     let question = PromptUrgency { rank: 0, ..DRAFT };
