--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -51,6 +51,7 @@
     accepts_request,
     give_up, //
 };
+use crate::loading::loaded_table;
 use crate::plain::serve_plain;
 use crate::request::RequestContext;
 use crate::request_error::{
@@ -137,8 +138,7 @@
     body: Incoming,
     caller: &mut CallerAccount,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let table = shared.lock().table.clone();
-    let table = table.ok_or(RequestError::NotConfigured)?;
+    let table = loaded_table(shared, started, metadata.timeout).await?;
     if head_bytes(&head) > table.limits.max_header_bytes {
         return Err(RequestError::HeaderTooLarge);
     }
--- a/crates/gateway/src/store/store_watch.rs
+++ b/crates/gateway/src/store/store_watch.rs
@@ -119,6 +119,7 @@
     }
     let backends = load_range(shared, BACKEND_PREFIX).await?;
     replace_backends(shared, &backends.items);
+    shared.loaded.send_replace(true);
     Ok(WatchPosition {
         revision: members.revision,
         loaded_at,
