--- a/crates/gateway/src/accounts/config_pull.rs
+++ b/crates/gateway/src/accounts/config_pull.rs
@@ -144,7 +144,7 @@
 async fn pull_from(shared: &GatewayShared, peer: &InstanceId, address: SocketAddr) -> PullOutcome {
     let request = HttpRequest::new(address, Method::GET, CONFIG_PATH);
     let Ok(response) = send_request(request, MAX_COPY_BYTES, PULL_TIMEOUT).await else {
-        return PullOutcome::Unreachable("no answer in time");
+        return PullOutcome::Unreachable("no connection, or no answer in time");
     };
     if response.status != StatusCode::OK {
         return PullOutcome::Unreachable("the peer shares none");
