policy, gateway: a window is reported if some gateway counted all of it

Cause: giving up windows in which gateways may have been lost with their counts also gave up windows that had been reported right. Change: that rule and its setting go; a window is given up only if no gateway counted from its start to its end.

--- a/crates/conf/src/duties.rs
+++ b/crates/conf/src/duties.rs
@@ -33,9 +33,6 @@
     /// Time after the end of a window in which its usage is due, in seconds.
     #[serde(default)]
     pub usage_late_s: Option<f64>,
-    /// Share of the requests that a report may be off by.
-    #[serde(default)]
-    pub usage_error: Option<f64>,
 }
 
 fn default_calls_per_second() -> f64 {
@@ -49,8 +46,6 @@
     pub window: Duration,
     /// Time after the end of a window in which its report is due.
     pub late: Duration,
-    /// Share of the requests that a report may be off by.
-    pub error: f64,
     /// Least time between two calls.
     pub call_interval: Duration,
 }
@@ -62,9 +57,6 @@
         if let Some(window_s) = self.usage_window_s {
             require_range(window_s, 0.5, 86_400.0, "duties.usage_window_s")?;
         }
-        if let Some(error) = self.usage_error {
-            require_range(error, 0.0, 1.0, "duties.usage_error")?;
-        }
         if let Some(late_s) = self.usage_late_s {
             require_range(late_s, 1.0, 86_400.0, "duties.usage_late_s")?;
         }
@@ -78,7 +70,6 @@
         Some(UsageTiming {
             window,
             late: late.unwrap_or(window),
-            error: self.usage_error.unwrap_or_default(),
             call_interval: Duration::from_secs_f64(1.0 / self.calls_per_s),
         })
     }
--- a/crates/gateway/src/usage/usage_reports.rs
+++ b/crates/gateway/src/usage/usage_reports.rs
@@ -126,15 +126,13 @@
     if era != seen.era {
         *seen = SeenEra { era, since: now };
     }
-    books.collector.record_members(now, &members);
-    let source = usage.source(now, &shared.settings.instance);
-    let own_since = source.since;
     if epoch.is_some() {
         let own = UsageChanges {
             entries: books.counter.entries().collect(),
             is_whole: true,
             ..UsageChanges::default()
         };
+        let source = usage.source(now, &shared.settings.instance);
         books.collector.merge(source, &own);
     }
     planner.next_step(ReportView {
@@ -143,7 +141,6 @@
         epoch,
         era,
         era_since: seen.since,
-        own_since,
         collector: &books.collector,
         members: &members,
     })
--- a/crates/gateway/src/usage/usage_state.rs
+++ b/crates/gateway/src/usage/usage_state.rs
@@ -80,7 +80,6 @@
                 rules: ReportRules {
                     window: timing.window,
                     late: timing.late,
-                    error: timing.error,
                     call_interval: timing.call_interval,
                 },
                 address: duties.address,
--- a/crates/policy/src/usage/report_planner.rs
+++ b/crates/policy/src/usage/report_planner.rs
@@ -39,8 +39,6 @@
     pub window: Duration,
     /// Time after the end of a window in which its report is due.
     pub late: Duration,
-    /// Share of the requests that a report may be off by.
-    pub error: f64,
     /// Least time between two calls.
     pub call_interval: Duration,
 }
@@ -58,8 +56,6 @@
     pub era: Option<StoreEra>,
     /// When this gateway learned of the era.
     pub era_since: TrueTime,
-    /// Since when this gateway has counted.
-    pub own_since: TrueTime,
     /// What all gateways have counted.
     pub collector: &'a UsageCollector,
     /// Gateways that are registered.
@@ -226,7 +222,7 @@
                 "store_restored"
             } else if waits && self.awaits_counts(view, start, settled) {
                 return None;
-            } else if view.collector.unknown_share(start, end, view.own_since) <= self.rules.error {
+            } else if view.collector.has_counted(start, end) {
                 return Some(window);
             } else if waits {
                 return None;
--- a/crates/policy/src/usage/usage_collector.rs
+++ b/crates/policy/src/usage/usage_collector.rs
@@ -50,8 +50,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct UsageCollector {
     runs: BTreeMap<(InstanceId, IncarnationId), CollectedRun>,
-    /// When each registered gateway was first seen.
-    seen: BTreeMap<InstanceId, TrueTime>,
 }
 
 impl UsageCollector {
@@ -130,32 +128,10 @@
         awaited.cloned().collect()
     }
 
-    /// Records the registered gateways, so that new ones are told from those that were there before.
-    pub fn record_members(&mut self, now: TrueTime, members: &BTreeSet<InstanceId>) {
-        self.seen.retain(|member, _| members.contains(member));
-        for member in members {
-            self.seen.entry(member.clone()).or_insert(now);
-        }
-    }
-
-    /// Returns the share of the gateways whose counts of a window may be unknown to this one, which has
-    /// counted since `own_since`. A gateway that was there when the window began, and of which no run since
-    /// then is known, may have been lost with its counts.
-    pub fn unknown_share(&self, start: TrueTime, end: TrueTime, own_since: TrueTime) -> f64 {
+    /// Returns whether some gateway has counted from `start` up to `end`, so that the window between is not
+    /// one in which all of them were lost.
+    pub fn has_counted(&self, start: TrueTime, end: TrueTime) -> bool {
         let mut runs = self.runs.values();
-        if !runs.any(|run| run.since <= start && run.until >= end) {
-            return 1.0;
-        }
-        let mut known: BTreeSet<&InstanceId> = BTreeSet::new();
-        for ((gateway, _), run) in &self.runs {
-            if run.since <= start {
-                known.insert(gateway);
-            }
-        }
-        let unknown = self.seen.iter().filter(|(member, seen_at)| {
-            let is_new = own_since <= start && **seen_at > start;
-            !is_new && !known.contains(member)
-        });
-        unknown.count() as f64 / self.seen.len().max(1) as f64
+        runs.any(|run| run.since <= start && run.until >= end)
     }
 }
