policy, gateway: calls wait at the gateway while plain servers are full

Cause: a plain service that is asked for more than its places can answer queues calls in order of arrival and rejects the rest; a rejected caller comes back late.

Change: each gateway limits its calls at the servers by their response times, rejections and the load that peers report, holds the others by rank, then target, and sends late ones only while servers show no queue. What cannot be answered in time is refused at once with a spread Retry-After. Nothing is held before the first sign of a queue. Retry-After times move from the token queue to a type of their own.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod load_exchange;
 mod metrics;
 mod overview;
+mod places;
 mod plain;
 mod readiness;
 mod request;
