gateway, policy: prefill speeds for each engine, and spells of slowness

Cause: the code kept one prefill speed a service.

Change: each engine's view holds a ServerSpeed, learned from this gateway's own prompts, from prompts that are overdue, and from the samples that peers send in tag 13 of the load report. A deviation is believed from the second sample in a row or from an overdue prompt, is forgotten within some 300 ms, and counts as lasting after 1.5 s. select_prefill_engine takes wait and prefill time from the engine's share of the mean speed; a spell delays only what is prefilled while it lasts. A restart or stage change forgets it. Gauge gateway_slow_engines. docs/design/server-speeds.md has the ways.

Not done: decode and plain servers, StagePlanner by sums of speed, a second prefill beside one in a spell.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::cache_estimate::CacheEstimate;
 use crate::health::BackendHealth;
+use crate::speeds::RunningPrefills;
 use crate::{
     AttemptOutcome,
     BackendLoad,
@@ -21,6 +22,7 @@
     ServerFilter,
     ServerLimit,
     ServerRest,
+    ServerSpeed,
     Unavailability, //
 };
 
@@ -91,6 +93,9 @@
     pub limit: ServerLimit,
     /// Rest that the server has asked this gateway for.
     pub rest: ServerRest,
+    /// Prefill speed of an engine.
+    pub speed: ServerSpeed,
+    pub(crate) running_prefills: RunningPrefills,
     pub(crate) cache: CacheEstimate,
     is_leaving: bool,
     mean_response_seconds: Option<f64>,
@@ -111,6 +116,8 @@
             health: BackendHealth::default(),
             limit: ServerLimit::default(),
             rest: ServerRest::default(),
+            speed: ServerSpeed::default(),
+            running_prefills: RunningPrefills::default(),
             cache: CacheEstimate::default(),
             is_leaving: false,
             mean_response_seconds: None,
@@ -231,6 +238,7 @@
             view.health = BackendHealth::default();
             view.limit = ServerLimit::default();
             view.rest = ServerRest::default();
+            view.speed = ServerSpeed::default();
             view.is_leaving = false;
             return Some(BackendChange::Restarted);
         }
@@ -242,7 +250,11 @@
                 BackendChange::Returned
             });
         }
-        (before.stage != view.record.stage).then_some(BackendChange::StageChanged)
+        if before.stage != view.record.stage {
+            view.speed = ServerSpeed::default();
+            return Some(BackendChange::StageChanged);
+        }
+        None
     }
 
     /// Removes a backend server. With `may_return`, as after a store disturbance, a backend server
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -50,6 +50,7 @@
 pub use messages::SavedStreams;
 pub use messages::SegmentReport;
 pub use messages::ServerLoad;
+pub use messages::SpeedReport;
 pub use messages::StreamAnswer;
 pub use messages::StreamMessage;
 pub use messages::StreamQuestion;
