--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -39,10 +39,6 @@
     leaving_reports,
     merge_leaving_reports, //
 };
-use crate::servers::speed_reports::{
-    merge_speed_reports,
-    speed_reports, //
-};
 use crate::shared::GatewayShared;
 use crate::suspects::suspect_report::{
     add_reports,
@@ -71,7 +67,7 @@
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Returns the hash that identifies a backend server in load reports.
-pub(crate) fn backend_hash(instance: &InstanceId) -> u32 {
+fn backend_hash(instance: &InstanceId) -> u32 {
     XxHash3_64::oneshot(instance.as_str().as_bytes()) as u32
 }
 
@@ -146,25 +142,19 @@
     report.loads = loads.collect();
     report.limits = limit_reports(now, state);
     report.leaving = leaving_reports(state);
-    report.speeds = speed_reports(now, state);
     report
 }
 
 /// Removes expired load reports and updates the peer load of each backend server.
 fn update_peer_loads(shared: &GatewayShared) {
-    let now = Instant::now();
     let mut guard = shared.lock();
     let state = &mut *guard;
-    state.peer_loads.expire(now);
+    state.peer_loads.expire(Instant::now());
     let peer_count = state.members.len().saturating_sub(1);
     for view in state.fleet.views_mut() {
         let hash = backend_hash(&view.record.instance);
         view.peer_load = state.peer_loads.load_at(hash, peer_count);
     }
-    let views = state.fleet.views();
-    let slow_count = views.filter(|view| view.speed.is_slow(now)).count();
-    let gauge = &shared.metrics.slow_engines;
-    gauge.set(slow_count.try_into().unwrap_or(i64::MAX));
 }
 
 /// Receives load reports of other gateways, until aborted.
@@ -215,7 +205,6 @@
     drop(guard);
     merge_limit_reports(shared, &peer, &report.limits);
     merge_leaving_reports(shared, &peer, &report.leaving);
-    merge_speed_reports(shared, now, &report.speeds);
     for evidence in parse_reports(now, &report) {
         merge_peer_evidence(shared, &peer, &evidence);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,7 +31,6 @@
     pub(crate) leaving_notices: IntCounter,
     pub(crate) malformed_notices: IntCounter,
     pub(crate) rests: IntCounter,
-    pub(crate) slow_engines: IntGauge,
     pub(crate) cache_lists: IntCounterVec,
     pub(crate) resumes: IntCounterVec,
     pub(crate) origins: IntGauge,
@@ -53,7 +52,6 @@
         let leaving_help = "Processes of backend servers that said that they leave";
         let notices_help = "Answers whose word that their server leaves is malformed";
         let rests_help = "Rests that backend servers asked this gateway for";
-        let slow_help = "Engines that prefill more slowly than usual at the moment";
         let lists_help = "Lists of cached segments that engines were asked for";
         let resumes_help = "Streams that callers take up, by where their version was learned";
         let dropped_help = "Streams whose version was dropped since the table was full";
@@ -87,7 +85,6 @@
             leaving_notices: set.counter("leaving_servers_total", leaving_help),
             malformed_notices: set.counter("malformed_notices_total", notices_help),
             rests: set.counter("rests_total", rests_help),
-            slow_engines: set.gauge("slow_engines", slow_help),
             cache_lists: set.counter_vec("cache_lists_total", lists_help, "outcome"),
             resumes: set.counter_vec("resumes_total", resumes_help, "source"),
             origins: set.gauge("known_streams", "Streams whose version is known"),
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -5,8 +5,6 @@
 pub(crate) mod in_flight;
 pub(crate) mod kv_cache;
 pub(crate) mod leaving_servers;
-pub(crate) mod prefill_timer;
 pub(crate) mod server_notices;
 pub(crate) mod server_rests;
-pub(crate) mod speed_reports;
 pub(crate) mod stages;
--- a/crates/gateway/src/streams/prefill.rs
+++ b/crates/gateway/src/streams/prefill.rs
@@ -31,7 +31,6 @@
     KvHandle,
     RemoteKvCache, //
 };
-use crate::servers::prefill_timer::PrefillTimer;
 use crate::shared::GatewayState;
 use crate::streams::generation::{
     SelectedEngine,
@@ -179,8 +178,6 @@
         .get(instance)
         .map_or(0, |view| view.total_load().prefill_backlog.total_tokens());
     let mut in_flight = InFlightGuard::new(context, instance, load, token);
-    let uncached_tokens = engine.selection.uncached_tokens.into();
-    let timer = PrefillTimer::new(&context.shared, instance, uncached_tokens, tokens_ahead);
     let mut metadata = context.attempt_metadata(instance, engine.position);
     metadata.prefill_only = true;
     let started = Instant::now();
@@ -206,7 +203,6 @@
         Ok(prefill) if response.http.status().is_success() => prefill,
         _ => return Err(AttemptError::Unsure("prefill_failed")),
     };
-    timer.finish();
     let mut state = context.shared.lock();
     let speeds = state.speeds.entry(context.service.clone()).or_default();
     // The time of a prompt that waited behind others is not a sample of the prefill speed.
--- a/crates/policy/src/backend_selection.rs
+++ b/crates/policy/src/backend_selection.rs
@@ -226,24 +226,22 @@
 ) -> Option<BackendSelection> {
     let views = candidate_views(fleet, now, request, Some(EngineStage::Prefill));
     let preferred = preferred_engine(&views, layout);
-    let mean_speed = mean_speed(&views);
     let scored = views.into_iter().map(|view| {
         let uncached_tokens = uncached_tokens(view, layout, preferred.as_ref());
         let backlog = view.total_load().prefill_backlog;
         let tokens_ahead = backlog.tokens_ahead(position);
-        let pace = view.prefill_pace(now, mean_speed);
-        let time_ms = |tokens: f64| pace.time_ms(tokens / capacity.prefill_tokens_per_ms);
-        let wait_ms = time_ms(tokens_ahead as f64);
-        let lower_priority = (backlog.total_tokens() - tokens_ahead) as f64 * LOWER_PRIORITY_SHARE;
-        let queue_tokens = tokens_ahead as f64 + lower_priority;
-        let finish_ms = time_ms(queue_tokens + f64::from(uncached_tokens));
-        // The time of a slow engine is scarcer.
-        let recompute_ms =
-            recompute_penalty_ms(layout, uncached_tokens) / pace.relative_speed.min(1.0);
+        let wait_ms = tokens_ahead as f64 / capacity.prefill_tokens_per_ms;
+        let lower_priority_ms = (backlog.total_tokens() - tokens_ahead) as f64
+            * LOWER_PRIORITY_SHARE
+            / capacity.prefill_tokens_per_ms;
+        let prefill_ms = f64::from(uncached_tokens) / capacity.prefill_tokens_per_ms;
+        let recompute_ms = recompute_penalty_ms(layout, uncached_tokens);
         let failure_ms = view.health.failure_rate() * FAILURE_PENALTY_MS;
         Candidate {
             view,
-            score: finish_ms
+            score: wait_ms
+                + lower_priority_ms
+                + prefill_ms
                 + recompute_ms
                 + failure_ms
                 + version_penalty_ms(view, request)
@@ -338,20 +336,6 @@
         .map_or(0, |segment| segment.tokens.0)
 }
 
-/// Returns the lasting speeds of the engines whose speed is known.
-fn lasting_speeds(views: &[&BackendView]) -> Vec<f64> {
-    let speeds = views
-        .iter()
-        .filter_map(|view| view.speed.lasting_tokens_per_ms());
-    speeds.collect()
-}
-
-/// Returns the mean of these speeds.
-fn mean_speed(views: &[&BackendView]) -> Option<f64> {
-    let speeds = lasting_speeds(views);
-    (!speeds.is_empty()).then(|| speeds.iter().sum::<f64>() / speeds.len() as f64)
-}
-
 /// Returns the preferred engine for the last shared segment by rendezvous hashing, so that all
 /// gateways agree on it without communication.
 fn preferred_engine(views: &[&BackendView], layout: &PromptLayout) -> Option<InstanceId> {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -11,7 +11,6 @@
 
 use crate::cache_estimate::CacheEstimate;
 use crate::health::BackendHealth;
-use crate::speeds::RunningPrefills;
 use crate::{
     AttemptOutcome,
     BackendLoad,
@@ -22,7 +21,6 @@
     ServerFilter,
     ServerLimit,
     ServerRest,
-    ServerSpeed,
     Unavailability, //
 };
 
@@ -93,9 +91,6 @@
     pub limit: ServerLimit,
     /// Rest that the server has asked this gateway for.
     pub rest: ServerRest,
-    /// Prefill speed of an engine.
-    pub speed: ServerSpeed,
-    pub(crate) running_prefills: RunningPrefills,
     pub(crate) cache: CacheEstimate,
     is_leaving: bool,
     mean_response_seconds: Option<f64>,
@@ -116,8 +111,6 @@
             health: BackendHealth::default(),
             limit: ServerLimit::default(),
             rest: ServerRest::default(),
-            speed: ServerSpeed::default(),
-            running_prefills: RunningPrefills::default(),
             cache: CacheEstimate::default(),
             is_leaving: false,
             mean_response_seconds: None,
@@ -238,7 +231,6 @@
             view.health = BackendHealth::default();
             view.limit = ServerLimit::default();
             view.rest = ServerRest::default();
-            view.speed = ServerSpeed::default();
             view.is_leaving = false;
             return Some(BackendChange::Restarted);
         }
@@ -250,11 +242,7 @@
                 BackendChange::Returned
             });
         }
-        if before.stage != view.record.stage {
-            view.speed = ServerSpeed::default();
-            return Some(BackendChange::StageChanged);
-        }
-        None
+        (before.stage != view.record.stage).then_some(BackendChange::StageChanged)
     }
 
     /// Removes a backend server. With `may_return`, as after a store disturbance, a backend server
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -50,7 +50,6 @@
 pub use messages::SavedStreams;
 pub use messages::SegmentReport;
 pub use messages::ServerLoad;
-pub use messages::SpeedReport;
 pub use messages::StreamAnswer;
 pub use messages::StreamMessage;
 pub use messages::StreamQuestion;
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -23,7 +23,6 @@
 pub use gateway_load::LeavingServer;
 pub use gateway_load::SegmentReport;
 pub use gateway_load::ServerLoad;
-pub use gateway_load::SpeedReport;
 pub use gateway_load::SuspectReport;
 pub use generate::AnswerChunk;
 pub use generate::AnswerEnd;
--- a/crates/wire/src/messages/gateway_load.rs
+++ b/crates/wire/src/messages/gateway_load.rs
@@ -100,24 +100,6 @@
     pub started_unix_ms: Option<u64>,
 }
 
-/// How fast an engine was for one prompt of the reporting gateway.
-#[derive(Clone, PartialEq)]
-#[derive(prost::Message)]
-pub struct SpeedReport {
-    /// Hash of the engine's instance id.
-    #[prost(fixed32, tag = "1")]
-    pub backend: u32,
-    /// Time per prompt token in nanoseconds.
-    #[prost(uint32, tag = "2")]
-    pub token_ns: u32,
-    /// Time since the prompt was prefilled in milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub age_ms: u32,
-    /// Whether the prompt is still being prefilled, so that the time is a lower bound.
-    #[prost(bool, tag = "4")]
-    pub is_running: bool,
-}
-
 /// Load of one gateway on all backend servers, sent as one datagram.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
@@ -149,7 +131,4 @@
     /// Backend servers that have said that they leave.
     #[prost(message, repeated, tag = "10")]
     pub leaving: Vec<LeavingServer>,
-    /// Speeds that engines have shown since the last report.
-    #[prost(message, repeated, tag = "13")]
-    pub speeds: Vec<SpeedReport>,
 }
