--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,6 @@
 mod loading;
 mod metrics;
 mod overview;
-mod places;
 mod plain;
 mod readiness;
 mod request;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,9 +28,6 @@
     pub(crate) limited_servers: IntGauge,
     pub(crate) malformed_limits: IntCounter,
     pub(crate) tokens: IntCounterVec,
-    pub(crate) held_calls: IntCounterVec,
-    pub(crate) held_milliseconds: IntCounterVec,
-    pub(crate) rejected_calls: IntCounterVec,
     pub(crate) leaving_notices: IntCounter,
     pub(crate) malformed_notices: IntCounter,
     pub(crate) rests: IntCounter,
@@ -76,9 +73,6 @@
         let account_requests_help = "Requests of the largest accounts";
         let account_refusals_help = "Requests of the largest accounts refused or failed";
         let tokens_help = "Tokens for requests to limited backend servers";
-        let held_help = "Calls held for a place at a plain server, by rank and how the wait ended";
-        let held_time_help = "Time for which calls were held for a place at a plain server";
-        let rejected_help = "Calls that plain servers had no room for";
         let verdicts_help = "Verdicts on requests suspected of crashing backend servers";
         let windows_help =
             "Windows of usage that this gateway fixed, reported or gave up, by reason";
@@ -109,9 +103,6 @@
             limited_servers: set.gauge("limited_servers", "Backend servers with a limit"),
             malformed_limits: set.counter("malformed_limits_total", malformed_help),
             tokens: set.counter_vec("tokens_total", tokens_help, "outcome"),
-            held_calls: set.counter_vec_by("held_calls_total", held_help, &["rank", "outcome"]),
-            held_milliseconds: set.counter_vec("held_milliseconds_total", held_time_help, "rank"),
-            rejected_calls: set.counter_vec("rejected_calls_total", rejected_help, "rank"),
             leaving_notices: set.counter("leaving_servers_total", leaving_help),
             malformed_notices: set.counter("malformed_notices_total", notices_help),
             rests: set.counter("rests_total", rests_help),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -21,7 +21,6 @@
 };
 use crate::drain::record_answer;
 use crate::latency::ServerStage;
-use crate::places::place_wait::wait_for_place;
 use crate::request::{
     AttemptHistory,
     MAX_REFUSALS,
@@ -29,7 +28,6 @@
 };
 use crate::request_error::RequestError;
 use crate::send::{
-    NO_ROOM,
     into_caller_response,
     read_response,
     start_attempt, //
@@ -55,12 +53,6 @@
         if !context.has_time_for_attempt(&history) {
             return Err(RequestError::DeadlineExceeded);
         }
-        let is_first = history.excluded.is_empty();
-        let place = if is_first || has_candidate(context, &history) {
-            wait_for_place(context, &history).await?
-        } else {
-            None
-        };
         let selecting = select_with_token(context, &history, None, || {
             select_and_log(context, &history) //
         });
@@ -70,7 +62,6 @@
         let SelectedServer {
             instance,
             address,
-            had_free_places,
             token,
         } = server;
         let load = BackendLoad {
@@ -97,17 +88,6 @@
         ) {
             record_plain_begun(context, started.elapsed());
         }
-        if let Some(place) = &place {
-            match &result {
-                Ok(response) if !is_failure(response) => {
-                    let target = context.rule.target;
-                    place.record_answer(&instance, started.elapsed(), target, had_free_places);
-                }
-                Err(AttemptError::NotProcessed(NO_ROOM)) => place.record_rejection(),
-                _ => {}
-            }
-        }
-        drop(place);
         history.excluded.insert(instance.clone());
         match result {
             Ok(response) => {
@@ -155,11 +135,6 @@
             }
             Err(AttemptError::NotProcessed(reason)) => {
                 history.refused += 1;
-                if reason == NO_ROOM {
-                    let rank = context.rank().to_string();
-                    let rejected_calls = &context.shared.metrics.rejected_calls;
-                    rejected_calls.with_label_values(&[&rank]).inc();
-                }
                 let may_retry = history.refused < MAX_REFUSALS && history.maybe_processed == 0;
                 if !(may_retry && context.shared.try_spend_retry(&context.service)) {
                     return Err(history.final_error(reason));
@@ -185,8 +160,6 @@
 struct SelectedServer {
     instance: InstanceId,
     address: SocketAddr,
-    /// Whether less than half of its places were known to be taken.
-    had_free_places: bool,
     token: Option<TokenTicket>,
 }
 
@@ -205,9 +178,7 @@
     let mut state = context.shared.lock();
     let mut selection = select_server(context, history, &state)?;
     let instance = selection.instance.clone();
-    let view = state.fleet.get(&instance)?;
-    let address = view.record.address;
-    let had_free_places = view.total_load().requests * 2 < view.record.slots;
+    let address = state.fleet.get(&instance)?.record.address;
     let group = context.server_group(history, None);
     selection.without_token = state.count_without_token(group.filter(&history.excluded));
     let token = TokenTicket::take(&context.shared, &mut state, &instance);
@@ -219,16 +190,10 @@
     Some(SelectedServer {
         instance,
         address,
-        had_free_places,
         token,
     })
 }
 
-/// Returns whether a backend server that has not been tried can be selected now.
-fn has_candidate(context: &RequestContext, history: &AttemptHistory) -> bool {
-    select_server(context, history, &context.shared.lock()).is_some()
-}
-
 /// Returns whether a response is a server error or an unsigned success.
 fn is_failure(response: &CompleteResponse) -> bool {
     let status = response.http.status();
@@ -240,7 +205,7 @@
 /// attempt goes to the caller.
 fn claim_retry(context: &RequestContext, history: &AttemptHistory) -> bool {
     context.may_retry(history)
-        && has_candidate(context, history)
+        && select_server(context, history, &context.shared.lock()).is_some()
         && context.shared.try_spend_retry(&context.service)
 }
 
--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -48,9 +48,6 @@
     /// The request was not processed; all backend servers are at the limits that they name. Holds the
     /// time after which the caller may come back.
     Limited(Duration),
-    /// The request was not processed; the places of all backend servers are taken. Holds the time after
-    /// which the caller may come back.
-    PlacesTaken(Duration),
     /// The request was not processed; all backend servers rest. Holds the time after which the caller
     /// may come back.
     Resting(Duration),
@@ -85,7 +82,6 @@
             Self::Unavailable(reason) | Self::Unsure(reason) => reason,
             Self::Quarantined(_) => "kept_out",
             Self::Limited(_) => "limited",
-            Self::PlacesTaken(_) => "places_taken",
             Self::Resting(_) => "resting",
             Self::VersionUnknown(_) => "version_unknown",
             Self::MemoryFull(_) => "memory_full",
@@ -102,7 +98,6 @@
             Self::Quarantined(delay)
             | Self::MemoryFull(delay)
             | Self::Limited(delay)
-            | Self::PlacesTaken(delay)
             | Self::Resting(delay)
             | Self::VersionUnknown(delay) => Some(delay),
             Self::Draining => Some(DRAINING_RETRY_DELAY),
@@ -118,7 +113,6 @@
             | Self::Draining
             | Self::Quarantined(_)
             | Self::Limited(_)
-            | Self::PlacesTaken(_)
             | Self::Resting(_)
             | Self::VersionUnknown(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -79,8 +79,6 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Reason of an attempt whose connection broke before the head of the response.
 const CONNECTION_BROKE: &str = "connection_broke";
-/// Reason of an attempt whose backend server had no room for it.
-pub(crate) const NO_ROOM: &str = "backend_refused";
 /// Reason of an attempt whose backend server wants no more requests for some time.
 const RESTING: &str = "resting";
 /// Reason of an attempt whose response does not fit into the memory for bodies.
@@ -299,7 +297,7 @@
             _ if is_rest => RESTING,
             421 => "other_instance",
             429 => "too_many",
-            _ => NO_ROOM,
+            _ => "backend_refused",
         }));
     }
     if metadata.is_encoded || status.is_informational() {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -56,7 +56,6 @@
 use crate::accounts::config_sharing::ConfigSharing;
 use crate::drain::start_window;
 use crate::metrics::GatewayMetrics;
-use crate::places::place_state::PlaceState;
 use crate::store::membership::HeldLeases;
 use crate::store::planner_lease::{
     PLANNER_LEASE_TTL,
@@ -124,8 +123,6 @@
     pub(crate) suspect_news: SuspectNews,
     /// Demand for tokens of limited backend servers.
     pub(crate) token_state: TokenState,
-    /// Calls to plain services, held and in flight.
-    pub(crate) places: PlaceState,
     /// Planner lease as known to this gateway, which allows orders while the gateway holds it.
     pub(crate) order_lease: OrderLease,
     /// Limits that the platform sets on retries.
@@ -224,7 +221,6 @@
                 answering_segments: AnsweringSegments::default(),
                 suspect_news: SuspectNews::default(),
                 token_state: TokenState::default(),
-                places: PlaceState::default(),
                 retry_limits: retry_limits(&settings),
                 grace: settings.grace_period(),
                 answer_times: AnswerTimes::default(),
--- a/crates/policy/src/token_queue.rs
+++ b/crates/policy/src/token_queue.rs
@@ -5,7 +5,6 @@
 
 use tokio::time::Instant;
 
-use crate::return_times::ReturnTimes;
 use crate::server_limit::{
     WaitingRanks,
     WaitingRequests,
@@ -16,6 +15,8 @@
 /// Every this many tokens, one goes to the request of another rank than the most urgent that has waited
 /// longest.
 pub(crate) const FLOOR_INTERVAL: u32 = 5;
+/// Latest time at which a refused caller is asked to come back.
+const MAX_RETURN_DELAY: Duration = Duration::from_secs(10);
 
 /// Number of a waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,7 +29,8 @@
     waiting: BTreeMap<(u8, WaiterId), Instant>,
     last_id: u64,
     served: u32,
-    returns: ReturnTimes,
+    /// When the caller that was refused last may come back.
+    last_return: Option<Instant>,
 }
 
 /// Returns the number of tokens until a request of a rank that joins now gets one, by the number of
@@ -106,7 +108,17 @@
         rate: f64,
         jitter: f64,
     ) -> Duration {
-        self.returns.next_delay(now, wait, rate, jitter)
+        let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_RETURN_DELAY);
+        let interval = interval.min(MAX_RETURN_DELAY);
+        let earliest = now + wait.min(MAX_RETURN_DELAY);
+        let next = self.last_return.map_or(earliest, |at| at + interval);
+        let mut due = next.max(earliest);
+        if due > now + MAX_RETURN_DELAY {
+            // The times start over, since many callers will not come back.
+            due = earliest;
+        }
+        self.last_return = Some(due);
+        due - now + interval.mul_f64(jitter)
     }
 
     /// Returns the request whose turn it is.
