--- a/crates/conf/src/duties.rs
+++ b/crates/conf/src/duties.rs
@@ -10,6 +10,7 @@
 
 use crate::ConfError;
 use crate::check::require_range;
+use crate::read::parse_json;
 
 /// Calls a second of all gateways together, if the platform states no limit.
 const DEFAULT_CALLS_PER_SECOND: f64 = 1.0;
@@ -51,6 +52,17 @@
 }
 
 impl DutySettings {
+    /// Parses and checks the JSON text of duties that is kept apart from the other settings. Returns `None`
+    /// if the text is blank, as where the platform asks for none.
+    pub fn parse(text: &str) -> Result<Option<Self>, ConfError> {
+        if text.trim().is_empty() {
+            return Ok(None);
+        }
+        let duties: Self = parse_json(text.as_bytes())?;
+        duties.check()?;
+        Ok(Some(duties))
+    }
+
     /// Checks the ranges of the settings.
     pub(crate) fn check(&self) -> Result<(), ConfError> {
         require_range(self.calls_per_s, 0.01, 1e6, "duties.calls_per_s")?;
