policy: one rendezvous weight for turns and selections of members

Cause: member_turn, first_members and choose_members each computed the same weight, and two of them the same ranking. The list of account names had no caller. Change: all three use pair_weight, choose_members collects what first_members returns; AccountTable::names goes. Same hashes, same order.

--- a/crates/policy/src/account_table.rs
+++ b/crates/policy/src/account_table.rs
@@ -111,11 +111,6 @@
         }
     }
 
-    /// Returns the names of all accounts.
-    pub fn names(&self) -> impl Iterator<Item = &AccountName> {
-        self.ranks.keys()
-    }
-
     /// Returns whether there is an account of this name.
     pub fn contains(&self, name: &AccountName) -> bool {
         self.ranks.contains_key(name)
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -14,7 +14,7 @@
 };
 
 /// Returns the rendezvous weight of a pair. Every process computes the same weight.
-fn pair_weight(key: &InstanceId, member: &InstanceId) -> u64 {
+fn pair_weight(key: &str, member: &InstanceId) -> u64 {
     let text = format!("{key}|{member}");
     XxHash3_64::oneshot(text.as_bytes())
 }
@@ -26,10 +26,9 @@
     own: &InstanceId,
     members: impl IntoIterator<Item = &'a InstanceId>,
 ) -> u32 {
-    let weight = |member: &InstanceId| XxHash3_64::oneshot(format!("{key}|{member}").as_bytes());
-    let own_weight = weight(own);
+    let own_weight = pair_weight(key, own);
     let members = members.into_iter();
-    let before = members.filter(|member| weight(member) > own_weight);
+    let before = members.filter(|member| pair_weight(key, member) > own_weight);
     before.count() as u32
 }
 
@@ -39,10 +38,9 @@
     members: impl IntoIterator<Item = &'a InstanceId>,
     limit: usize,
 ) -> Vec<InstanceId> {
-    let weighted = members.into_iter().map(|member| {
-        let text = format!("{key}|{member}");
-        (XxHash3_64::oneshot(text.as_bytes()), member)
-    });
+    let weighted = members
+        .into_iter()
+        .map(|member| (pair_weight(key, member), member));
     let mut ranked: Vec<(u64, &InstanceId)> = weighted.collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     let first = ranked.into_iter().take(limit);
@@ -69,13 +67,9 @@
     members: impl IntoIterator<Item = &'a InstanceId>,
     limit: usize,
 ) -> BTreeSet<InstanceId> {
-    let weighted = members
+    first_members(key.as_str(), members, limit)
         .into_iter()
-        .map(|member| (pair_weight(key, member), member));
-    let mut ranked: Vec<(u64, &InstanceId)> = weighted.collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let chosen = ranked.into_iter().take(limit);
-    chosen.map(|(_, member)| member.clone()).collect()
+        .collect()
 }
 
 /// Returns the selected members of all data centres, up to `limit` in each data centre.
