--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -396,6 +396,7 @@
         self.record("start", self.name, "at", self.listen)
 
     def end(self, number=signal.SIGKILL):
+        """Stops the process and waits for its end."""
         if self.process and self.process.poll() is None:
             self.record("signal", number, "to", self.name)
             self.process.send_signal(number)
