review: case 9, a request that differs in its query alone voids the evidence on a deadly one

Cause: the fingerprint of a request leaves its query out, so that each sound request of the same path clears the one that crashes servers. Change: a script with stand-ins and its claim; stand-ins end without noise.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -9,10 +9,10 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import urllib.parse
@@ -275,8 +275,9 @@
         self.sequence, self.busy, self.waiting = 0, 0, 0
         self.born = int(time.time() * 1000)
         self.state = "ready"
-        self.is_cut = False
+        self.is_cut = self.is_down = False
         self.arrivals = []
+        self.crashes_on = None
         self.limit = None
         self.refuses = None
         self.free = asyncio.Condition()
@@ -298,12 +299,31 @@
             "born": self.born,
         }
 
+    async def crash(self, down_s):
+        """Ends all connections and listens no more; a new process of the same id starts later."""
+        self.record(self.name, "crashes")
+        self.is_down = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.busy = self.waiting = 0
+        await asyncio.sleep(down_s)
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port, backlog=512)
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self.is_down = False
+        self.record(self.name, "has started again")
+        self.write_entry()
+
+    def write_entry(self):
+        self.sequence += 1
+        self.store.put(f"servers/{self.name}", json.dumps(self.entry()).encode())
+
     async def beat(self):
         """Writes the entry; the store removes it after three silent intervals."""
         key = f"servers/{self.name}"
         silent = 0
         while True:
-            if self.is_cut:
+            if self.is_cut or self.is_down:
                 silent += 1
                 if silent == 3 and key in self.store.items:
                     self.record("store: entry of", self.name, "removed after three silent intervals")
@@ -312,8 +332,7 @@
                 if silent >= 3 or key not in self.store.items:
                     self.record("store: entry of", self.name, "written")
                 silent = 0
-                self.sequence += 1
-                self.store.put(key, json.dumps(self.entry()).encode())
+                self.write_entry()
             await asyncio.sleep(PING_S)
 
     async def answer(self, peer, method, target, headers, body):
@@ -327,6 +346,10 @@
             return 421, base, b""
         arrived = now()
         self.arrivals.append((arrived, peer, request))
+        if self.crashes_on is not None and self.crashes_on(target):
+            self.record(self.name, "begins to run", request, target)
+            asyncio.get_running_loop().create_task(self.crash(3.0))
+            return None
         if self.refuses is not None:
             return await self.refuses(peer, request, base)
         return await self.run(peer, request, base)
@@ -515,10 +538,12 @@
 def run(folder, case):
     """Runs a case with a record. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(os.path.join(folder, "record.txt"))
+    scratch = tempfile.mkdtemp()
     gateways = []
-    with tempfile.TemporaryDirectory() as scratch:
+
+    async def main():
         try:
-            is_broken = asyncio.run(asyncio.wait_for(case(record, scratch, gateways), 110))
+            is_broken = await asyncio.wait_for(case(record, scratch, gateways), 105)
             code = 1 if is_broken else 0
         except Exception as error:
             record("the case could not run:", repr(error))
@@ -526,6 +551,10 @@
         finally:
             for gateway in gateways:
                 gateway.end()
-    record("exit", code)
-    print(f"exit {code}")
-    sys.exit(code)
+            shutil.rmtree(scratch, ignore_errors=True)
+        record("exit", code)
+        print(f"exit {code}", flush=True)
+        # Connections that are still open need no orderly end.
+        os._exit(code)
+
+    asyncio.run(main())
