--- a/review/6/case.py
+++ b/review/6/case.py
@@ -71,7 +71,6 @@
     ids = {request for _, request, _ in deadly_client.sent}
     arrivals = [arrival for server in servers for arrival in server.arrivals]
     reached = sorted((at, request) for at, _, request in arrivals if request in ids)
-    sent_at = {request: at for at, request, _ in deadly_client.sent}
     late = []
     if TROUBLE and len(reached) >= 3:
         third = reached[2][0]
