review: streams in place of plain answers for the resting server that crashes

Cause: answers of the site's plain services are too short for a crash in the middle of one. Change: the case is played with streams of ordinary length; the stand-ins know prefill calls and orders.

--- a/review/standins_4.py
+++ b/review/standins_4.py
@@ -101,12 +101,16 @@
         self.body = b""
         self.is_complete = False
         self.cause = ""
-        self.began_at = time.monotonic()
+        self.began_at = self.last_at = time.monotonic()
         self.ended_at = None
+        self.widest_gap = 0.0
 
 
-async def send(address, method, path, headers, body=b"", timeout=10.0, on_bytes=None):
-    """Sends one request on a new channel and returns the answer, also if it breaks off."""
+async def send(address, method, path, headers, body=b"", timeout=10.0, gap=None):
+    """Sends one request on a new channel and returns the answer, also if it breaks off.
+
+    A stream is given up after `gap` seconds without a byte.
+    """
     answer = Answer()
     writer = None
 
@@ -119,15 +123,18 @@
         await writer.drain()
         line, answer.headers = await read_head(reader)
         answer.status = int(line.split(" ")[1])
+        answer.last_at = time.monotonic()
         if first(answer.headers, "transfer-encoding", "").lower() == "chunked":
             while True:
-                size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
-                data = await reader.readexactly(size + 2)
+                line = await asyncio.wait_for(reader.readuntil(b"\r\n"), gap)
+                size = int(line.split(b";")[0], 16)
+                data = await asyncio.wait_for(reader.readexactly(size + 2), gap)
                 if size == 0:
                     break
                 answer.body += data[:-2]
-                if on_bytes:
-                    on_bytes(answer)
+                at = time.monotonic()
+                answer.widest_gap = max(answer.widest_gap, at - answer.last_at)
+                answer.last_at = at
             answer.is_complete = True
         elif first(answer.headers, "content-length") is not None:
             length = int(first(answer.headers, "content-length"))
@@ -144,7 +151,7 @@
     try:
         await asyncio.wait_for(exchange(), timeout)
     except asyncio.TimeoutError:
-        answer.cause = "no whole answer within the client's deadline"
+        answer.cause = "given up by the client: deadline, or no byte for too long"
     except (Closed, OSError, asyncio.IncompleteReadError) as error:
         answer.cause = f"channel closed: {error!r}"
     finally:
@@ -404,9 +411,15 @@
         for line in lines:
             if line.strip() == "listening":
                 loop.call_soon_threadsafe(is_listening.set)
+            elif line.startswith("phase "):
+                loop.call_soon_threadsafe(self._change_phase, line.split()[1])
             else:
                 self.lines.append((time.monotonic(), line.strip()))
 
+    def _change_phase(self, phase):
+        self.phase = phase
+        self.register(self.state)
+
     def register(self, state="ready"):
         self.sequence += 1
         self.state = state
@@ -503,6 +516,9 @@
     def __init__(self, settings):
         self.settings = settings
         self.running = 0
+        self.orders = 0
+        self.fence = 0
+        self.handles = 0
         self.is_leaving = False
         self.is_over = False
 
@@ -563,7 +579,7 @@
         if expected is not None and expected != settings["id"]:
             return await self.reply(writer, 421, fields + [("X-Galenarail-Not-Processed", "1")])
         own = json.dumps({"born": settings["born"], "phase": settings.get("phase"), "busy": False,
-                          "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": 0,
+                          "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": self.orders,
                           "queued": 0, "running": self.running, "kvUsed": 0, "kvTotal": 500000,
                           "kvHandles": 0}).encode()
         if target in ("/healthz", "/report"):
@@ -574,6 +590,10 @@
             return await self.reply(writer, status, own_fields, own)
         if target.startswith("/kv-list"):
             return await self.reply(writer, 200, [], json.dumps({"epoch": 1, "next": 1, "held": [], "born": settings["born"]}).encode())
+        if target == "/order":
+            return await self.reply(writer, self.accept_order(json.loads(body)), [])
+        if method == "DELETE":
+            return await self.reply(writer, 200, [])
         if not request_id:
             return await self.reply(writer, 400, [("X-Galenarail-Not-Processed", "1")])
         if self.running >= settings["slots"]:
@@ -582,6 +602,15 @@
                 rejection.append(("Retry-After", str(settings["rest_s"])))
             self.log(f"full {request_id}")
             return await self.reply(writer, 503, fields + rejection)
+        phase = settings.get("phase")
+        is_prefill = first(headers, "X-Galenarail-Inference-Phase") == "prefill"
+        if phase and is_prefill != (phase == "prefill"):
+            return await self.reply(writer, 421, fields + [("X-Galenarail-Not-Processed", "1")])
+        if is_prefill:
+            await asyncio.sleep(0.02)
+            self.handles += 1
+            handle = {"kvHandle": f"{settings['born']:x}{self.handles:x}", "tokens": 60, "version": 1}
+            return await self.reply(writer, 200, fields, json.dumps(dict(handle, born=settings["born"])).encode())
         self.running += 1
         self.log(f"run {request_id} {method} {target}")
         try:
@@ -589,6 +618,23 @@
         finally:
             self.running -= 1
 
+    def accept_order(self, order):
+        """Changes the stage, as the pages tell. Returns the status."""
+        if order["fencingToken"] < self.fence:
+            return 412
+        self.fence = order["fencingToken"]
+        if order["phase"] == self.settings.get("phase"):
+            return 200
+        if order.get("precondition") not in (None, self.orders):
+            return 409
+        self.orders += 1
+        asyncio.get_running_loop().call_later(1.0, self.change_phase, order["phase"])
+        return 202
+
+    def change_phase(self, phase):
+        self.settings["phase"] = phase
+        self.log(f"phase {phase}")
+
     async def work(self, writer, request_id, fields, headers):
         """Writes the answer in pieces. Without a length, its end is that of the channel."""
         settings = self.settings
