--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,6 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+# Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the burst.
+cd "$(dirname "$0")" || exit 2
+[ -x ../../target/release/galenarail-gateway ] || exit 2
 export PYTHONDONTWRITEBYTECODE=1
-exec timeout -k 5 115 python3 "$(dirname "$0")/case.py"
+exec timeout -k 5 115 python3 case.py
