gateway: one function judges answers that end with their connection, and logs why

The logs did not tell what the gateway had concluded from: each decision is now one line (verdict, state of the writer, whether it leaves, other requests at the same process, time held) and counts in unframed_ends_total by verdict.

A refusal and another process are no longer one state.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,17 +8,25 @@
 use platform::ResponseMetadata;
 use web::ClientConnection;
 
+use crate::servers::sent_requests::{
+    ResponseEnd,
+    SentRequest, //
+};
+
 /// A response whose head has arrived and whose body has not been read.
 pub(crate) struct OpenResponse {
     pub(crate) http: Response<Incoming>,
     pub(crate) metadata: ResponseMetadata,
     pub(crate) connection: ClientConnection,
+    pub(crate) sent: SentRequest,
 }
 
 /// A response that has been read completely.
 pub(crate) struct CompleteResponse {
     pub(crate) http: Response<Bytes>,
     pub(crate) metadata: ResponseMetadata,
+    /// End of a body without a length or chunks.
+    pub(crate) unframed_end: Option<ResponseEnd>,
 }
 
 /// Why an attempt ended without a usable response.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,7 @@
     pub(crate) unreadable_accounts: IntGauge,
     pub(crate) account_requests: IntCounterVec,
     pub(crate) account_refusals: IntCounterVec,
+    pub(crate) unframed_ends: IntCounterVec,
     pub(crate) latencies: LatencyMetrics,
 }
 
@@ -77,6 +78,7 @@
         let windows_help =
             "Windows of usage that this gateway fixed, reported or gave up, by reason";
         let usage_calls_help = "Reports of usage sent, by answer";
+        let unframed_help = "Answers without a length or chunks, by whether they count as whole";
         let uncounted_help =
             "Requests that are missing in the usage, since there are too many counts";
         Self {
@@ -135,6 +137,7 @@
                 account_refusals_help,
                 "account",
             ),
+            unframed_ends: set.counter_vec("unframed_ends_total", unframed_help, "verdict"),
             latencies: LatencyMetrics::new(&set),
             set,
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -35,10 +35,7 @@
 use crate::servers::in_flight::InFlightGuard;
 use crate::shared::GatewayState;
 use crate::suspects::crash_suspects::check_suspect;
-use crate::suspects::unframed_end::{
-    ResponseServer,
-    record_response_end, //
-};
+use crate::suspects::unframed_end::record_response_end;
 use crate::tokens::token_ticket::TokenTicket;
 use crate::tokens::token_wait::select_with_token;
 use crate::usage::usage_state::record_plain_begun;
@@ -109,17 +106,8 @@
                 let run = elapsed;
                 record_answer(&context.shared, &context.rule, AnswerSample { total, run });
                 let is_success = response.http.status().is_success();
-                let is_framed = response.metadata.is_framed;
-                let server = ResponseServer {
-                    instance: instance.clone(),
-                    address,
-                };
-                record_response_end(
-                    context,
-                    server,
-                    is_framed,
-                    is_success && response.metadata.is_signed,
-                );
+                let is_proven = is_success && response.metadata.is_signed;
+                record_response_end(context, response.unframed_end.clone(), is_proven);
                 log_response(context, &instance, &response);
                 if is_success && !response.metadata.is_signed {
                     return Err(RequestError::Unsure("answer_unsigned"));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,7 +11,6 @@
     Full,
     Limited, //
 };
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{
     Request,
@@ -25,7 +24,10 @@
     check_process,
     strip_hop_by_hop_headers, //
 };
-use policy::AttemptOutcome;
+use policy::{
+    AttemptOutcome,
+    EndVerdict, //
+};
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -45,6 +47,10 @@
     OpenResponse, //
 };
 use crate::request::RequestContext;
+use crate::servers::sent_requests::{
+    SentRequest,
+    ServerProcess, //
+};
 use crate::servers::server_notices::record_notices;
 use crate::shared::GatewayShared;
 use crate::suspects::crash_probe::answers_probe;
@@ -54,9 +60,8 @@
     record_crash, //
 };
 use crate::suspects::unframed_end::{
-    ResponseServer,
     UNFRAMED_CAUSE,
-    has_ended_with_response, //
+    judge_response_end, //
 };
 use crate::tokens::server_limits::{
     LimitQuestion,
@@ -231,8 +236,23 @@
         }
         let request = build_request(context, address, metadata)?;
         let question = LimitQuestion::new(&context.shared, &metadata.instance);
+        let process = ServerProcess {
+            instance: metadata.instance.clone(),
+            address,
+        };
+        let mut sent = SentRequest::new(&context.shared, process);
         match connection.send(request).await {
-            Ok(response) => return check_response_head(context, &question, response, connection),
+            Ok(http) => {
+                let (head, body) = http.into_parts();
+                let metadata = ResponseMetadata::parse(&head);
+                let response = OpenResponse {
+                    http: Response::from_parts(head, body),
+                    metadata,
+                    connection,
+                    sent,
+                };
+                return check_response_head(context, &question, response);
+            }
             // A pooled connection may have been closed while idle, which says nothing about the
             // state of the backend server.
             Err(SendFailure::Unsent(_)) if connection.is_reused => {}
@@ -240,7 +260,10 @@
             Err(SendFailure::MaybeSent(error)) if error.is_malformed() => {
                 return Err(AttemptError::Unsure("malformed_response"));
             }
-            Err(SendFailure::MaybeSent(_)) => return Err(AttemptError::Unsure(CONNECTION_BROKE)),
+            Err(SendFailure::MaybeSent(_)) => {
+                sent.record_end();
+                return Err(AttemptError::Unsure(CONNECTION_BROKE));
+            }
         }
     }
 }
@@ -267,31 +290,24 @@
 fn check_response_head(
     context: &RequestContext,
     question: &LimitQuestion,
-    response: Response<Incoming>,
-    connection: ClientConnection,
+    response: OpenResponse,
 ) -> Result<OpenResponse, AttemptError> {
-    let (head, body) = response.into_parts();
-    let metadata = ResponseMetadata::parse(&head);
-    let status = head.status;
+    let metadata = &response.metadata;
+    let status = response.http.status();
     // A response to another request does not show whether this one was processed. One without an id may be
     // such a response, unless it is the first on its connection.
     if metadata.request_id != context.metadata.request_id {
         if !metadata.request_id.is_empty() {
             return Err(AttemptError::Unsure("answer_to_another"));
         }
-        if connection.has_answered() {
+        if response.connection.has_answered() {
             return Err(AttemptError::Unsure("answer_without_id"));
         }
     }
     record_stated_limit(&context.shared, question, metadata.server_limit);
     record_notices(&context.shared, question, metadata.notices);
     if metadata.not_processed {
-        let response = OpenResponse {
-            http: Response::from_parts(head, body),
-            metadata,
-            connection,
-        };
-        let is_rest = response.metadata.notices.rest.is_some();
+        let is_rest = metadata.notices.rest.is_some();
         release_after_refusal(context, response);
         return Err(AttemptError::NotProcessed(match status.as_u16() {
             _ if is_rest => RESTING,
@@ -303,11 +319,7 @@
     if metadata.is_encoded || status.is_informational() {
         return Err(AttemptError::Unsure("foreign_answer"));
     }
-    Ok(OpenResponse {
-        http: Response::from_parts(head, body),
-        metadata,
-        connection,
-    })
+    Ok(response)
 }
 
 /// Reads the short body of a refusal in the background, so that the connection can be reused.
@@ -350,6 +362,7 @@
     instance: &InstanceId,
     response: OpenResponse,
 ) -> Result<CompleteResponse, AttemptError> {
+    let mut sent = response.sent;
     let (head, body) = response.http.into_parts();
     let time_left = context.time_left();
     let bodies = &context.shared.bodies;
@@ -360,25 +373,28 @@
             return Err(AttemptError::Unsure("malformed_response"));
         }
         Err(_) => {
+            sent.record_end();
             let cause = "connection broke within a response body";
             record_crash(&context.shared, &context.witness(), instance, cause);
             return Err(AttemptError::Unsure("answer_cut"));
         }
         Ok(bytes) => bytes,
     };
-    let server = ResponseServer {
-        instance: instance.clone(),
-        address: response.connection.address(),
-    };
-    if !response.metadata.is_framed && has_ended_with_response(context, &server).await {
-        let witness = context.witness();
-        record_crash(&context.shared, &witness, instance, UNFRAMED_CAUSE);
-        return Err(AttemptError::Unsure("answer_cut"));
+    let mut unframed_end = None;
+    if !response.metadata.is_framed {
+        let end = sent.record_end();
+        if judge_response_end(context, &end).await == EndVerdict::BrokenOff {
+            let witness = context.witness();
+            record_crash(&context.shared, &witness, instance, UNFRAMED_CAUSE);
+            return Err(AttemptError::Unsure("answer_cut"));
+        }
+        unframed_end = Some(end);
     }
     release_connection(&context.shared, response.connection, &response.metadata);
     Ok(CompleteResponse {
         http: Response::from_parts(head, bytes),
         metadata: response.metadata,
+        unframed_end,
     })
 }
 
--- a/crates/gateway/src/servers/backend_entries.rs
+++ b/crates/gateway/src/servers/backend_entries.rs
@@ -126,6 +126,7 @@
             Some(until) if now < until => Vec::new(),
             _ => state.fleet.expire(now, all_restored),
         };
+        state.sent_requests.remove_idle(now);
         let records = state.fleet.views().map(|view| &view.record);
         let own_streams = shared.origins.record_entries(records);
         drop(guard);
--- a/crates/gateway/src/servers/kv_cache.rs
+++ b/crates/gateway/src/servers/kv_cache.rs
@@ -19,7 +19,6 @@
 use crate::servers::server_notices::record_notices;
 use crate::shared::GatewayShared;
 use crate::suspects::server_process::{
-    ProcessState,
     find_process,
     process_state, //
 };
@@ -73,7 +72,7 @@
         }
         charge_request(shared, &self.instance);
         match target.probe(shared, &self.instance, PROBE_TIMEOUT).await {
-            Ok(answer) => process_state(answer, self.incarnation) != ProcessState::Ended,
+            Ok(answer) => !process_state(answer, self.incarnation).has_ended(),
             Err(_) => false,
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -56,6 +56,7 @@
 use crate::accounts::config_sharing::ConfigSharing;
 use crate::drain::start_window;
 use crate::metrics::GatewayMetrics;
+use crate::servers::sent_requests::SentRequests;
 use crate::store::membership::HeldLeases;
 use crate::store::planner_lease::{
     PLANNER_LEASE_TTL,
@@ -100,6 +101,8 @@
     pub(crate) table: Option<Arc<RouteTable>>,
     /// Backend servers of all services.
     pub(crate) fleet: BackendFleet,
+    /// Requests under way at the processes of backend servers.
+    pub(crate) sent_requests: SentRequests,
     /// Retry budget of each service that has received requests.
     pub(crate) retry_budgets: BTreeMap<ServiceName, RetryBudget>,
     /// Rates and speeds of each service that has received generation requests.
@@ -210,6 +213,7 @@
             state: Mutex::new(GatewayState {
                 table: None,
                 fleet: BackendFleet::default(),
+                sent_requests: SentRequests::default(),
                 retry_budgets: BTreeMap::new(),
                 speeds: BTreeMap::new(),
                 members: BTreeMap::new(),
--- a/crates/gateway/src/streams/prefill.rs
+++ b/crates/gateway/src/streams/prefill.rs
@@ -37,10 +37,7 @@
     record_selection, //
 };
 use crate::suspects::crash_suspects::check_suspect;
-use crate::suspects::unframed_end::{
-    ResponseServer,
-    record_response_end, //
-};
+use crate::suspects::unframed_end::record_response_end;
 
 /// Number of prefill-only attempts before the decode engine prefills the prompt inline.
 const MAX_PREFILL_ATTEMPTS: u32 = 2;
@@ -193,11 +190,7 @@
     let response = read_response(context, instance, response).await?;
     drop(in_flight);
     // A prefill does not run the request, so that its success does not clear it.
-    let server = ResponseServer {
-        instance: instance.clone(),
-        address: engine.address,
-    };
-    record_response_end(context, server, response.metadata.is_framed, false);
+    record_response_end(context, response.unframed_end, false);
     let elapsed = started.elapsed();
     let latencies = &context.shared.metrics.latencies;
     latencies.observe_stage(ServerStage::Prefill, instance, elapsed);
--- a/crates/gateway/src/streams/stream_attempt.rs
+++ b/crates/gateway/src/streams/stream_attempt.rs
@@ -21,9 +21,12 @@
 use crate::attempt::OpenResponse;
 use crate::request::RequestContext;
 use crate::servers::in_flight::InFlightGuard;
+use crate::servers::sent_requests::{
+    ResponseEnd,
+    SentRequest, //
+};
 use crate::streams::generation::OpenStream;
 use crate::suspects::crash_suspects::record_crash;
-use crate::suspects::unframed_end::ResponseServer;
 use crate::usage::usage_state::record_stream_begun;
 
 /// Body of one attempt, with the load that the attempt puts on its engine.
@@ -34,6 +37,7 @@
     pub(crate) metadata: ResponseMetadata,
     pub(crate) connection: ClientConnection,
     body: Incoming,
+    sent: SentRequest,
     in_flight: InFlightGuard,
     /// When the first bytes arrived.
     pub(crate) started: Option<Instant>,
@@ -47,26 +51,30 @@
             metadata: stream.response.metadata,
             connection: stream.response.connection,
             body: stream.response.http.into_body(),
+            sent: stream.response.sent,
             in_flight: stream.in_flight,
             started: None,
         }
     }
 
-    /// Returns the server that sends the response.
-    pub(crate) fn server(&self) -> ResponseServer {
-        ResponseServer {
-            instance: self.instance.clone(),
-            address: self.connection.address(),
-        }
+    /// Returns the end of a body without a length or chunks, which has been read to its end.
+    pub(crate) fn unframed_end(&mut self) -> Option<ResponseEnd> {
+        (!self.metadata.is_framed).then(|| self.sent.record_end())
     }
 
     /// Returns the next bytes, `None` at the end of the body, or why the body ended early. Nothing is
     /// lost if the future is dropped.
     pub(crate) async fn next_bytes(&mut self) -> Result<Option<Bytes>, &'static str> {
         match self.body.frame().await {
-            None => Ok(None),
+            None => {
+                self.unframed_end();
+                Ok(None)
+            }
             Some(Err(error)) if is_malformed(&error) => Err("malformed_response"),
-            Some(Err(_)) => Err("stream_cut"),
+            Some(Err(_)) => {
+                self.sent.record_end();
+                Err("stream_cut")
+            }
             Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
         }
     }
--- a/crates/gateway/src/streams/stream_forwarder.rs
+++ b/crates/gateway/src/streams/stream_forwarder.rs
@@ -6,6 +6,7 @@
 use logs::DecisionKind;
 use policy::{
     AnswerSample,
+    EndVerdict,
     EventCursor, //
 };
 use tokio::time::{
@@ -38,8 +39,8 @@
 use crate::streams::stream_timing::StreamTiming;
 use crate::suspects::answer_watch::AnswerWatch;
 use crate::suspects::unframed_end::{
-    has_ended_with_response,
-    record_stream_end, //
+    judge_response_end,
+    record_response_end, //
 };
 use crate::versions::origin_lookup::record_first_event;
 
@@ -163,7 +164,7 @@
                 Ok(None) if self.cursor.is_mid_event() => {
                     return self.fail(instance, "ended_mid_event");
                 }
-                Ok(None) if self.has_ended_with_server(&attempt).await => {
+                Ok(None) if self.has_broken_off(&mut attempt).await => {
                     return self.fail(instance, "server_ended");
                 }
                 Ok(None) if !self.cursor.has_continued() => {
@@ -190,9 +191,11 @@
     }
 
     /// Returns whether the end of a body without a length or chunks is that of its server.
-    async fn has_ended_with_server(&self, attempt: &StreamAttempt) -> bool {
-        !attempt.metadata.is_framed
-            && has_ended_with_response(&self.context, &attempt.server()).await
+    async fn has_broken_off(&self, attempt: &mut StreamAttempt) -> bool {
+        let Some(end) = attempt.unframed_end() else {
+            return false;
+        };
+        judge_response_end(&self.context, &end).await == EndVerdict::BrokenOff
     }
 
     fn fail(&self, instance: InstanceId, reason: &'static str) -> StreamEnd {
@@ -228,11 +231,10 @@
         }
     }
 
-    fn finish_attempt(&self, attempt: StreamAttempt) {
+    fn finish_attempt(&self, mut attempt: StreamAttempt) {
         let context = &self.context;
         record_decode_speed(context, &attempt.instance, attempt.started);
-        let is_framed = attempt.metadata.is_framed;
-        record_stream_end(context, attempt.server(), is_framed);
+        record_response_end(context, attempt.unframed_end(), true);
         release_connection(&context.shared, attempt.connection, &attempt.metadata);
     }
 
--- a/crates/gateway/src/suspects/crash_probe.rs
+++ b/crates/gateway/src/suspects/crash_probe.rs
@@ -10,6 +10,7 @@
 use platform::ProbeAnswer;
 use policy::{
     CrashState,
+    ProcessState,
     ServerCrash, //
 };
 use tokio::time::{
@@ -21,7 +22,6 @@
 use crate::shared::GatewayShared;
 use crate::suspects::server_process::{
     ProbeTarget,
-    ProcessState,
     find_process,
     process_state, //
 };
@@ -204,11 +204,12 @@
 /// Returns what the state of a process shows about its presumed crash.
 fn state_after(state: ProcessState, crash: &ServerCrash) -> Option<CrashState> {
     match state {
-        ProcessState::Ended => Some(CrashState::Confirmed),
+        ProcessState::Replaced | ProcessState::Refusing => Some(CrashState::Confirmed),
         ProcessState::Running => Some(CrashState::Outlived),
-        ProcessState::Unstated => {
+        ProcessState::Listening => {
             (crash.at.elapsed() < RESTART_TIME).then_some(CrashState::Outlived)
         }
+        ProcessState::Silent | ProcessState::Unasked => None,
     }
 }
 
--- a/crates/gateway/src/suspects/server_process.rs
+++ b/crates/gateway/src/suspects/server_process.rs
@@ -8,7 +8,10 @@
     ProbeAnswer,
     probe_server, //
 };
-use policy::BackendView;
+use policy::{
+    BackendView,
+    ProcessState, //
+};
 use units::{
     IncarnationId,
     InstanceId, //
@@ -22,17 +25,6 @@
 };
 use crate::tokens::server_limits::LimitQuestion;
 
-/// What the answer to a probe shows about a process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ProcessState {
-    /// It no longer listens, or another process has taken its place.
-    Ended,
-    /// It answers.
-    Running,
-    /// A process answers that does not state when it started.
-    Unstated,
-}
-
 /// Where to probe a backend server.
 pub(crate) struct ProbeTarget {
     address: SocketAddr,
@@ -97,7 +89,8 @@
     incarnation: Option<IncarnationId>,
 ) -> ProcessState {
     match (answer, incarnation) {
-        (ProbeAnswer::NotListening | ProbeAnswer::OtherInstance, _) => ProcessState::Ended,
+        (ProbeAnswer::NotListening, _) => ProcessState::Refusing,
+        (ProbeAnswer::OtherInstance, _) => ProcessState::Replaced,
         (
             ProbeAnswer::Alive {
                 started_unix_ms: Some(started),
@@ -109,7 +102,7 @@
                 started_unix_ms: Some(_),
             },
             Some(_),
-        ) => ProcessState::Ended,
-        (ProbeAnswer::Alive { .. }, _) => ProcessState::Unstated,
+        ) => ProcessState::Replaced,
+        (ProbeAnswer::Alive { .. }, _) => ProcessState::Listening,
     }
 }
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -1,28 +1,32 @@
 //! Responses whose end is the end of their connection: complete, or cut by the end of their server.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use logs::DecisionKind;
+use policy::{
+    AnswerEnd,
+    EndVerdict,
+    ProcessState, //
+};
 use tokio::time::{
     Instant,
-    sleep,
     sleep_until, //
 };
-use units::{
-    IncarnationId,
-    InstanceId, //
-};
+use units::IncarnationId;
 
 use crate::request::RequestContext;
-use crate::shared::GatewayShared;
+use crate::servers::sent_requests::{
+    ResponseEnd,
+    ServerProcess, //
+};
+use crate::shared::GatewayState;
 use crate::suspects::crash_suspects::{
     record_completed,
     record_crash, //
 };
 use crate::suspects::server_process::{
     ProbeTarget,
-    ProcessState,
     find_process,
     process_state, //
 };
@@ -47,140 +51,128 @@
 
 pub(crate) const UNFRAMED_CAUSE: &str = "backend server ended with a response of unknown length";
 
-/// The server that has sent a response.
-#[derive(Debug, Clone)]
-pub(crate) struct ResponseServer {
-    pub(crate) instance: InstanceId,
-    /// Where the request was sent.
-    pub(crate) address: SocketAddr,
-}
-
-/// Waits a moment for the question whether the server of a response of unknown length has ended with it.
-/// Returns false if that is not known by then.
-pub(crate) async fn has_ended_with_response(
+/// Finds out within some milliseconds whether a response of unknown length is whole.
+pub(crate) async fn judge_response_end(
     context: &RequestContext,
-    server: &ResponseServer,
-) -> bool {
-    let incarnation = incarnation_of(&context.shared, &server.instance);
-    sleep(FIRST_PROBE_DELAY).await;
-    let probing = probe_process(context, server, incarnation, RESPONSE_PROBE_TIMEOUT);
-    probing.await == Some(ProcessState::Ended)
+    response_end: &ResponseEnd,
+) -> EndVerdict {
+    sleep_until(response_end.ended_at + FIRST_PROBE_DELAY).await;
+    let end = observe_end(context, response_end, RESPONSE_PROBE_TIMEOUT).await;
+    let verdict = end.verdict();
+    log_verdict(context, response_end, end);
+    verdict
 }
 
-/// Records the end of a response. A complete success clears the request; whether a response of unknown
-/// length was complete, or its server ended with it, is found out in the background.
+/// Records the end of a response after [`judge_response_end`]. A complete success clears the request;
+/// whether the server of a response of unknown length outlived it is found out in the background.
 pub(crate) fn record_response_end(
     context: &Arc<RequestContext>,
-    server: ResponseServer,
-    is_framed: bool,
-    is_success: bool,
-) {
-    if !is_framed {
-        tokio::spawn(check_unframed_end(context.clone(), server, is_success));
-    } else if is_success {
-        record_completed(context);
-    }
-}
-
-/// Records the end of a stream after [`has_ended_with_response`].
-pub(crate) fn record_stream_end(
-    context: &Arc<RequestContext>,
-    server: ResponseServer,
-    is_framed: bool,
-) {
-    if is_framed {
-        return record_completed(context);
-    }
-    let context = context.clone();
-    let ended_at = Instant::now();
-    tokio::spawn(async move {
-        let incarnation = incarnation_of(&context.shared, &server.instance);
-        let state = settle_state(&context, &server, incarnation, ended_at).await;
-        record_state(&context, &server.instance, state, true);
-    });
-}
-
-async fn check_unframed_end(
-    context: Arc<RequestContext>,
-    server: ResponseServer,
+    unframed_end: Option<ResponseEnd>,
     is_success: bool,
 ) {
-    let incarnation = incarnation_of(&context.shared, &server.instance);
-    let ended_at = Instant::now();
-    sleep(FIRST_PROBE_DELAY).await;
-    let mut state = probe_process(&context, &server, incarnation, PROBE_TIMEOUT).await;
-    if state != Some(ProcessState::Ended) {
-        state = settle_state(&context, &server, incarnation, ended_at).await;
+    match unframed_end {
+        Some(end) => drop(tokio::spawn(settle_end(context.clone(), end, is_success))),
+        None if is_success => record_completed(context),
+        None => {}
     }
-    record_state(&context, &server.instance, state, is_success);
 }
 
-/// Returns the state of a process once it would no longer answer if it had ended with its response.
-async fn settle_state(
-    context: &RequestContext,
-    server: &ResponseServer,
-    incarnation: Option<IncarnationId>,
-    ended_at: Instant,
-) -> Option<ProcessState> {
-    let settled_at = ended_at + SURVIVAL_TIME;
+/// Records what a response shows about its request once its process would no longer answer if it had ended
+/// with the response.
+async fn settle_end(context: Arc<RequestContext>, response_end: ResponseEnd, is_success: bool) {
+    let shared = &context.shared;
+    let instance = &response_end.process.instance;
+    let settled_at = response_end.ended_at + SURVIVAL_TIME;
     sleep_until(settled_at + LIVENESS_TIME).await;
-    if context
-        .shared
-        .has_shown_liveness(&server.instance, settled_at)
-    {
-        return Some(ProcessState::Running);
+    let verdict = if shared.has_shown_liveness(instance, settled_at) {
+        EndVerdict::Whole
+    } else {
+        let end = observe_end(&context, &response_end, PROBE_TIMEOUT).await;
+        end.verdict()
+    };
+    match verdict {
+        EndVerdict::BrokenOff => {
+            record_crash(shared, &context.witness(), instance, UNFRAMED_CAUSE);
+        }
+        EndVerdict::Whole if is_success => record_completed(&context),
+        EndVerdict::Whole | EndVerdict::PresumedWhole => {}
     }
-    probe_process(context, server, incarnation, PROBE_TIMEOUT).await
 }
 
-fn record_state(
+/// Returns what is known now of the end of a response.
+async fn observe_end(
     context: &RequestContext,
-    instance: &InstanceId,
-    state: Option<ProcessState>,
-    is_success: bool,
-) {
-    match state {
-        Some(ProcessState::Ended) => {
-            let shared = &context.shared;
-            record_crash(shared, &context.witness(), instance, UNFRAMED_CAUSE);
-        }
-        Some(ProcessState::Running | ProcessState::Unstated) if is_success => {
-            record_completed(context);
-        }
-        _ => {}
+    response_end: &ResponseEnd,
+    timeout: Duration,
+) -> AnswerEnd {
+    let process = &response_end.process;
+    let writer = ask_writer(context, process, timeout).await;
+    let state = context.shared.lock();
+    AnswerEnd {
+        writer,
+        is_leaving: is_leaving(&state, process),
+        siblings: state.sent_requests.siblings(response_end),
     }
 }
 
-fn incarnation_of(shared: &GatewayShared, instance: &InstanceId) -> Option<IncarnationId> {
-    let state = shared.lock();
-    let started_unix_ms = state.fleet.get(instance)?.record.started_unix_ms;
-    started_unix_ms.map(IncarnationId)
+/// Returns whether a process has announced that it leaves, or has lost its entry.
+fn is_leaving(state: &GatewayState, process: &ServerProcess) -> bool {
+    let view = state.fleet.get(&process.instance);
+    let view = view.filter(|view| view.record.address == process.address);
+    view.is_none_or(|view| view.record.draining || view.is_leaving())
 }
 
-/// Finds out whether a process still runs. Returns `None` if it does not answer in time, as a busy
-/// server may, or if it rests.
-async fn probe_process(
+/// Asks the process that wrote a response for its state.
+async fn ask_writer(
     context: &RequestContext,
-    server: &ResponseServer,
-    incarnation: Option<IncarnationId>,
+    process: &ServerProcess,
     timeout: Duration,
-) -> Option<ProcessState> {
-    let (shared, instance) = (&context.shared, &server.instance);
+) -> ProcessState {
+    let (shared, instance) = (&context.shared, &process.instance);
+    let incarnation = {
+        let state = shared.lock();
+        let view = state.fleet.get(instance);
+        view.and_then(|view| view.record.started_unix_ms.map(IncarnationId))
+    };
     let has_entry = shared.lock().fleet.get(instance).is_some();
     let target = if has_entry {
         find_process(&shared.lock(), instance, incarnation)
     } else {
-        Some(ProbeTarget::without_entry(context, server.address))
+        Some(ProbeTarget::without_entry(context, process.address))
     };
     let Some(target) = target else {
-        return Some(ProcessState::Ended);
+        return ProcessState::Replaced;
     };
     if shared.lock().fleet.is_resting(Instant::now(), instance) {
-        return None;
+        return ProcessState::Unasked;
     }
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["probe"]).inc();
     charge_request(shared, instance);
-    let answer = target.probe(shared, instance, timeout).await.ok()?;
-    Some(process_state(answer, incarnation))
+    match target.probe(shared, instance, timeout).await {
+        Ok(answer) => process_state(answer, incarnation),
+        Err(_) => ProcessState::Silent,
+    }
+}
+
+fn log_verdict(context: &RequestContext, response_end: &ResponseEnd, end: AnswerEnd) {
+    let verdict = end.verdict();
+    let metrics = &context.shared.metrics;
+    let counter = metrics.unframed_ends.with_label_values(&[verdict.as_str()]);
+    counter.inc();
+    let reason = "response without a length ended with its connection";
+    let record = context
+        .record(DecisionKind::Send, reason)
+        .chosen(&response_end.process.instance)
+        .input("verdict", verdict.as_str())
+        .input("writer", end.writer.as_str())
+        .input("leaving", end.is_leaving)
+        .input("siblings", end.siblings.as_str())
+        .input(
+            "held_ms",
+            response_end.ended_at.elapsed().as_millis() as u64,
+        );
+    let is_broken = verdict == EndVerdict::BrokenOff;
+    let log = &context.shared.log;
+    log.write(if is_broken { record.failure() } else { record });
 }
--- /dev/null
+++ b/crates/policy/src/answer_end.rs
@@ -0,0 +1,84 @@
+//! Whether an answer that ended with its connection is whole.
+
+use crate::SiblingRequests;
+
+/// What a new connection shows of a process to which a request was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessState {
+    /// It answers and states its start time.
+    Running,
+    /// A process accepts connections, but its start time is unknown.
+    Listening,
+    /// Another process has taken its place.
+    Replaced,
+    /// Nothing accepts connections.
+    Refusing,
+    /// There was no answer in time.
+    Silent,
+    /// It was not asked, since it rests.
+    Unasked,
+}
+
+impl ProcessState {
+    /// Returns whether the process has ended, if it does not leave. One that leaves may refuse connections
+    /// while it completes its answers.
+    pub fn has_ended(self) -> bool {
+        matches!(self, Self::Replaced | Self::Refusing)
+    }
+
+    /// Returns the name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Listening => "listening",
+            Self::Replaced => "replaced",
+            Self::Refusing => "refusing",
+            Self::Silent => "silent",
+            Self::Unasked => "unasked",
+        }
+    }
+}
+
+/// What is known some time after the orderly end of an answer that has neither a length nor chunks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// State of the process that wrote the answer.
+    pub writer: ProcessState,
+    /// Whether the process has announced that it leaves, or its entry is gone.
+    pub is_leaving: bool,
+    /// Other requests of the same gateway at that process.
+    pub siblings: SiblingRequests,
+}
+
+/// Whether an answer is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndVerdict {
+    /// The process outlived the answer.
+    Whole,
+    /// Nothing shows that the process has ended before it had written all.
+    PresumedWhole,
+    /// The process has ended, so that the answer may be a part.
+    BrokenOff,
+}
+
+impl EndVerdict {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::PresumedWhole => "presumed_whole",
+            Self::BrokenOff => "broken_off",
+        }
+    }
+}
+
+impl AnswerEnd {
+    /// Returns whether the answer is whole.
+    pub fn verdict(self) -> EndVerdict {
+        match self.writer {
+            ProcessState::Running | ProcessState::Listening => EndVerdict::Whole,
+            ProcessState::Replaced | ProcessState::Refusing => EndVerdict::BrokenOff,
+            ProcessState::Silent | ProcessState::Unasked => EndVerdict::PresumedWhole,
+        }
+    }
+}
