gateway: whole answers of leaving servers are no longer cut

Cause: a refused connection was read as the end of the process. A server that stays listens until it ends; one that leaves stops listening first. Ruled out: a probe that fails (silent), a lost or replaced entry.

Change: the refusal of a process that has announced its end (entry, Server-Leaving, or no entry left) is judged by the other requests of this gateway at that process, since a process takes its connections with it: one under way, whole; the last ones ended together, broken off; none, handed on without effect on the evidence of crashes.

--- a/crates/gateway/src/suspects/crash_probe.rs
+++ b/crates/gateway/src/suspects/crash_probe.rs
@@ -9,6 +9,7 @@
 };
 use platform::ProbeAnswer;
 use policy::{
+    BackendView,
     CrashState,
     ProcessState,
     ServerCrash, //
@@ -48,7 +49,8 @@
 /// does not state when it started. A restart takes longer.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 
-/// Returns whether a server that has fallen silent on all connections answers on a new one.
+/// Returns whether a server that has fallen silent on all connections answers on a new one, or refuses it
+/// since it leaves.
 ///
 /// A busy server also sends nothing for a while. One probe at a time asks each server, and its result
 /// holds for all requests that wait for it.
@@ -79,7 +81,12 @@
     }
     charge_request(shared, instance);
     let answer = target.probe(shared, instance, SILENCE_PROBE_TIMEOUT).await;
-    let is_alive = matches!(answer, Ok(ProbeAnswer::Alive { .. }));
+    let is_alive = match answer {
+        Ok(ProbeAnswer::Alive { .. }) => true,
+        // It may have stopped listening and still complete its answers.
+        Ok(ProbeAnswer::NotListening) => has_announced_end(shared, instance),
+        Ok(ProbeAnswer::OtherInstance) | Err(_) => false,
+    };
     *last_result = Some(SilenceProbe {
         at: Instant::now(),
         is_alive,
@@ -89,6 +96,12 @@
     is_alive
 }
 
+fn has_announced_end(shared: &GatewayShared, instance: &InstanceId) -> bool {
+    let state = shared.lock();
+    let view = state.fleet.get(instance);
+    view.is_some_and(BackendView::has_announced_end)
+}
+
 /// Probes the servers of presumed crashes in the background.
 pub(crate) fn probe_crashes(shared: &Arc<GatewayShared>, crashes: Vec<ServerCrash>) {
     let now = Instant::now();
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -6,6 +6,7 @@
 use logs::DecisionKind;
 use policy::{
     AnswerEnd,
+    BackendView,
     EndVerdict,
     ProcessState, //
 };
@@ -119,7 +120,7 @@
 fn is_leaving(state: &GatewayState, process: &ServerProcess) -> bool {
     let view = state.fleet.get(&process.instance);
     let view = view.filter(|view| view.record.address == process.address);
-    view.is_none_or(|view| view.record.draining || view.is_leaving())
+    view.is_none_or(BackendView::has_announced_end)
 }
 
 /// Asks the process that wrote a response for its state.
--- a/crates/policy/src/answer_end.rs
+++ b/crates/policy/src/answer_end.rs
@@ -75,10 +75,16 @@
 impl AnswerEnd {
     /// Returns whether the answer is whole.
     pub fn verdict(self) -> EndVerdict {
-        match self.writer {
-            ProcessState::Running | ProcessState::Listening => EndVerdict::Whole,
-            ProcessState::Replaced | ProcessState::Refusing => EndVerdict::BrokenOff,
-            ProcessState::Silent | ProcessState::Unasked => EndVerdict::PresumedWhole,
+        match (self.writer, self.siblings) {
+            (ProcessState::Running | ProcessState::Listening, _) => EndVerdict::Whole,
+            (ProcessState::Replaced, _) => EndVerdict::BrokenOff,
+            // The kernel refuses at once for a process that has ended.
+            (ProcessState::Silent | ProcessState::Unasked, _) => EndVerdict::PresumedWhole,
+            (ProcessState::Refusing, _) if !self.is_leaving => EndVerdict::BrokenOff,
+            // A leaving process completes its answers after it has stopped listening.
+            (ProcessState::Refusing, SiblingRequests::UnderWay) => EndVerdict::Whole,
+            (ProcessState::Refusing, SiblingRequests::EndedTogether) => EndVerdict::BrokenOff,
+            (ProcessState::Refusing, SiblingRequests::None) => EndVerdict::PresumedWhole,
         }
     }
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -200,6 +200,11 @@
         self.is_leaving
     }
 
+    /// Returns whether the process has announced that it leaves, by its entry or in its answers.
+    pub fn has_announced_end(&self) -> bool {
+        self.record.draining || self.is_leaving
+    }
+
     /// Records that the process has said that it leaves. Returns whether that is new.
     pub fn record_leaving(&mut self) -> bool {
         !std::mem::replace(&mut self.is_leaving, true)
