gateway: parts of answers of resting servers are no longer handed on as whole

Cause: a server that rests is sent no requests, so it was not asked whether it had ended, and not asked was read as still there. Ruled out: an answer of another process, a late one.

Change: a resting server is asked by a connection without a request, which an ended process refuses; ProbeTarget::ask decides between the two for all callers, and ProcessState has no value for not asked any more. Related: a silent server that rests counted as alive, and the process of a presumed crash was not looked for while it rested (no tests of their own); a server that rests and leaves got questions, since is_resting was hidden by the departure (fleet.rs is_resting_draining).

--- a/crates/gateway/src/servers/kv_cache.rs
+++ b/crates/gateway/src/servers/kv_cache.rs
@@ -70,8 +70,7 @@
         if shared.lock().fleet.is_resting(now, &self.instance) {
             return false;
         }
-        charge_request(shared, &self.instance);
-        match target.probe(shared, &self.instance, PROBE_TIMEOUT).await {
+        match target.ask(shared, &self.instance, PROBE_TIMEOUT).await {
             Ok(answer) => !process_state(answer, self.incarnation).has_ended(),
             Err(_) => false,
         }
--- a/crates/gateway/src/suspects/crash_probe.rs
+++ b/crates/gateway/src/suspects/crash_probe.rs
@@ -28,7 +28,6 @@
 };
 use crate::suspects::suspect_news::SilenceProbe;
 use crate::suspects::suspect_sharing::relay_news;
-use crate::tokens::token_ticket::charge_request;
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -75,12 +74,7 @@
     let Some(target) = target else {
         return false;
     };
-    // A server that has asked for a rest is known to live.
-    if shared.lock().fleet.is_resting(Instant::now(), instance) {
-        return true;
-    }
-    charge_request(shared, instance);
-    let answer = target.probe(shared, instance, SILENCE_PROBE_TIMEOUT).await;
+    let answer = target.ask(shared, instance, SILENCE_PROBE_TIMEOUT).await;
     let is_alive = match answer {
         Ok(ProbeAnswer::Alive { .. }) => true,
         // It may have stopped listening and still complete its answers.
@@ -175,15 +169,7 @@
     let Some(target) = target else {
         return Some(CrashState::Confirmed);
     };
-    if shared
-        .lock()
-        .fleet
-        .is_resting(Instant::now(), &crash.server)
-    {
-        return None;
-    }
-    charge_request(shared, &crash.server);
-    match target.probe(shared, &crash.server, timeout).await {
+    match target.ask(shared, &crash.server, timeout).await {
         Ok(answer) => state_after(process_state(answer, crash.incarnation), crash),
         Err(error) => {
             if is_last {
@@ -222,7 +208,7 @@
         ProcessState::Listening => {
             (crash.at.elapsed() < RESTART_TIME).then_some(CrashState::Outlived)
         }
-        ProcessState::Silent | ProcessState::Unasked => None,
+        ProcessState::Silent => None,
     }
 }
 
--- a/crates/gateway/src/suspects/server_process.rs
+++ b/crates/gateway/src/suspects/server_process.rs
@@ -6,12 +6,14 @@
 use platform::{
     PlatformError,
     ProbeAnswer,
+    probe_connection,
     probe_server, //
 };
 use policy::{
     BackendView,
     ProcessState, //
 };
+use tokio::time::Instant;
 use units::{
     IncarnationId,
     InstanceId, //
@@ -24,6 +26,7 @@
     GatewayState, //
 };
 use crate::tokens::server_limits::LimitQuestion;
+use crate::tokens::token_ticket::charge_request;
 
 /// Where to probe a backend server.
 pub(crate) struct ProbeTarget {
@@ -57,13 +60,17 @@
         }
     }
 
-    /// Asks a backend server for its state, and returns the answer.
-    pub(crate) async fn probe(
+    /// Asks a backend server for its state. One that rests gets no request, only a connection.
+    pub(crate) async fn ask(
         &self,
         shared: &GatewayShared,
         instance: &InstanceId,
         timeout: Duration,
     ) -> Result<ProbeAnswer, PlatformError> {
+        if shared.lock().fleet.is_resting(Instant::now(), instance) {
+            return probe_connection(self.address, timeout).await;
+        }
+        charge_request(shared, instance);
         let question = LimitQuestion::new(shared, instance);
         let observe = |notices| record_notices(shared, &question, notices);
         let health_path = self.health_path.as_deref();
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -10,10 +10,7 @@
     EndVerdict,
     ProcessState, //
 };
-use tokio::time::{
-    Instant,
-    sleep_until, //
-};
+use tokio::time::sleep_until;
 use units::IncarnationId;
 
 use crate::request::RequestContext;
@@ -31,7 +28,6 @@
     find_process,
     process_state, //
 };
-use crate::tokens::token_ticket::charge_request;
 
 /// Time from the end of a response to the first probe. A process that ends with its response may still
 /// accept connections for some milliseconds.
@@ -144,13 +140,9 @@
     let Some(target) = target else {
         return ProcessState::Replaced;
     };
-    if shared.lock().fleet.is_resting(Instant::now(), instance) {
-        return ProcessState::Unasked;
-    }
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["probe"]).inc();
-    charge_request(shared, instance);
-    match target.probe(shared, instance, timeout).await {
+    match target.ask(shared, instance, timeout).await {
         Ok(answer) => process_state(answer, incarnation),
         Err(_) => ProcessState::Silent,
     }
--- a/crates/policy/src/answer_end.rs
+++ b/crates/policy/src/answer_end.rs
@@ -15,8 +15,6 @@
     Refusing,
     /// There was no answer in time.
     Silent,
-    /// It was not asked, since it rests.
-    Unasked,
 }
 
 impl ProcessState {
@@ -34,7 +32,6 @@
             Self::Replaced => "replaced",
             Self::Refusing => "refusing",
             Self::Silent => "silent",
-            Self::Unasked => "unasked",
         }
     }
 }
@@ -79,7 +76,7 @@
             (ProcessState::Running | ProcessState::Listening, _) => EndVerdict::Whole,
             (ProcessState::Replaced, _) => EndVerdict::BrokenOff,
             // The kernel refuses at once for a process that has ended.
-            (ProcessState::Silent | ProcessState::Unasked, _) => EndVerdict::PresumedWhole,
+            (ProcessState::Silent, _) => EndVerdict::PresumedWhole,
             (ProcessState::Refusing, _) if !self.is_leaving => EndVerdict::BrokenOff,
             // A leaving process completes its answers after it has stopped listening.
             (ProcessState::Refusing, SiblingRequests::UnderWay) => EndVerdict::Whole,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -18,6 +18,7 @@
     EngineStage,
     OfferedRate,
     PromptLayout,
+    RestState,
     ServerFilter,
     ServerLimit,
     ServerRest,
@@ -398,7 +399,8 @@
     pub fn is_resting(&self, now: Instant, instance: &InstanceId) -> bool {
         let view = self.views.get(instance);
         view.is_some_and(|view| {
-            matches!(view.unavailability(now), Some(Unavailability::Resting(_)))
+            let state = view.rest.state(now, view.own_load.requests);
+            matches!(state, RestState::Resting(_))
         })
     }
 
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -94,6 +94,21 @@
     assert_eq!(usable(&fleet, now, None), ["i-2"]);
 }
 
+/// Guards against requests to a server that leaves while it rests.
+#[test]
+fn is_resting_draining() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["i-1"], None);
+    let view = fleet.get_mut(&id("i-1")).unwrap();
+    view.rest.observe(now, now, Duration::from_secs(2), 0);
+    assert!(fleet.is_resting(now, &id("i-1")));
+    let mut draining = record("i-1", None);
+    draining.draining = true;
+    fleet.upsert(draining);
+    assert!(fleet.is_resting(now, &id("i-1")));
+    assert!(!fleet.is_resting(now + Duration::from_secs(2), &id("i-1")));
+}
+
 #[test]
 fn remove_disturbed_store_entry_returns() {
     let now = Instant::now();
