gateway: parts of answers to uploads, cut by a reset, are no longer handed on as whole

Cause: the connection was closed and forgotten at the end of the body; the reset comes when the rest of the request reaches the server.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -240,11 +240,15 @@
             instance: metadata.instance.clone(),
             address,
         };
-        let mut sent = SentRequest::new(&context.shared, process);
+        let watch = connection.watch().clone();
+        let mut sent = SentRequest::new(&context.shared, process, watch);
         match connection.send(request).await {
             Ok(http) => {
                 let (head, body) = http.into_parts();
                 let metadata = ResponseMetadata::parse(&head);
+                if !metadata.is_framed {
+                    connection.watch().keep_socket();
+                }
                 let response = OpenResponse {
                     http: Response::from_parts(head, body),
                     metadata,
--- a/crates/gateway/src/servers/sent_requests.rs
+++ b/crates/gateway/src/servers/sent_requests.rs
@@ -10,6 +10,7 @@
 };
 use tokio::time::Instant;
 use units::InstanceId;
+use web::ConnectionWatch;
 
 use crate::shared::GatewayShared;
 
@@ -45,17 +46,24 @@
 pub(crate) struct ResponseEnd {
     pub(crate) process: ServerProcess,
     pub(crate) ended_at: Instant,
+    /// Connection of the response.
+    pub(crate) watch: ConnectionWatch,
 }
 
 /// Request that is counted as under way at its process until its connection ends or the value is dropped.
 pub(crate) struct SentRequest {
     shared: Arc<GatewayShared>,
     process: ServerProcess,
+    watch: ConnectionWatch,
     ended_at: Option<Instant>,
 }
 
 impl SentRequest {
-    pub(crate) fn new(shared: &Arc<GatewayShared>, process: ServerProcess) -> Self {
+    pub(crate) fn new(
+        shared: &Arc<GatewayShared>,
+        process: ServerProcess,
+        watch: ConnectionWatch,
+    ) -> Self {
         let mut state = shared.lock();
         state
             .sent_requests
@@ -67,6 +75,7 @@
         Self {
             shared: shared.clone(),
             process,
+            watch,
             ended_at: None,
         }
     }
@@ -84,6 +93,7 @@
         ResponseEnd {
             process: self.process.clone(),
             ended_at,
+            watch: self.watch.clone(),
         }
     }
 }
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -104,8 +104,10 @@
 ) -> AnswerEnd {
     let process = &response_end.process;
     let writer = ask_writer(context, process, timeout).await;
+    let is_reset = response_end.watch.was_reset();
     let state = context.shared.lock();
     AnswerEnd {
+        is_reset,
         writer,
         is_leaving: is_leaving(&state, process),
         siblings: state.sent_requests.siblings(response_end),
@@ -158,6 +160,7 @@
         .record(DecisionKind::Send, reason)
         .chosen(&response_end.process.instance)
         .input("verdict", verdict.as_str())
+        .input("reset", end.is_reset)
         .input("writer", end.writer.as_str())
         .input("leaving", end.is_leaving)
         .input("siblings", end.siblings.as_str())
--- a/crates/policy/src/answer_end.rs
+++ b/crates/policy/src/answer_end.rs
@@ -39,6 +39,8 @@
 /// What is known some time after the orderly end of an answer that has neither a length nor chunks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerEnd {
+    /// Whether the connection was reset afterwards, as data of the request still arrived.
+    pub is_reset: bool,
     /// State of the process that wrote the answer.
     pub writer: ProcessState,
     /// Whether the process has announced that it leaves, or its entry is gone.
@@ -54,7 +56,7 @@
     Whole,
     /// Nothing shows that the process has ended before it had written all.
     PresumedWhole,
-    /// The process has ended, so that the answer may be a part.
+    /// The process has ended or has reset the connection, so that the answer may be a part.
     BrokenOff,
 }
 
@@ -72,6 +74,9 @@
 impl AnswerEnd {
     /// Returns whether the answer is whole.
     pub fn verdict(self) -> EndVerdict {
+        if self.is_reset {
+            return EndVerdict::BrokenOff;
+        }
         match (self.writer, self.siblings) {
             (ProcessState::Running | ProcessState::Listening, _) => EndVerdict::Whole,
             (ProcessState::Replaced, _) => EndVerdict::BrokenOff,
--- a/crates/policy/tests/answer_ends.rs
+++ b/crates/policy/tests/answer_ends.rs
@@ -20,6 +20,7 @@
 fn verdicts(writer: ProcessState, is_leaving: bool) -> [EndVerdict; 3] {
     SIBLINGS.map(|siblings| {
         let end = AnswerEnd {
+            is_reset: false,
             writer,
             is_leaving,
             siblings,
@@ -68,6 +69,18 @@
     }
 }
 
+/// Guards against parts of answers as whole ones, whose connections were reset amid their requests.
+#[test]
+fn verdict_reset() {
+    let end = AnswerEnd {
+        is_reset: true,
+        writer: ProcessState::Running,
+        is_leaving: false,
+        siblings: SiblingRequests::UnderWay,
+    };
+    assert_eq!(end.verdict(), EndVerdict::BrokenOff);
+}
+
 /// Guards against siblings that are taken for ended or for running.
 #[test]
 fn siblings_ends() {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -21,9 +21,12 @@
     Frame, //
 };
 use hyper::header::{
+    CONTENT_LENGTH,
     CONTENT_TYPE,
-    HeaderValue, //
+    HeaderValue,
+    TRANSFER_ENCODING, //
 };
+use hyper::http::response::Parts;
 use hyper::{
     Response,
     StatusCode, //
@@ -141,6 +144,13 @@
     }
 }
 
+/// Returns whether the head of a response shows where its body ends. Otherwise the body ends with its
+/// connection.
+pub fn is_framed(head: &Parts) -> bool {
+    let headers = &head.headers;
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Reads a complete body, up to a maximum size and within a timeout.
 pub async fn read_body<B>(body: B, limit_bytes: usize, timeout: Duration) -> Result<Bytes, WebError>
 where
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -15,20 +15,28 @@
 };
 use snafu::ResultExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use crate::WebError;
-use crate::body::read_body;
+use crate::body::{
+    is_framed,
+    read_body, //
+};
 use crate::connection::{
     HEAD_BUDGET_BYTES,
     RESPONSE_BUDGET_BYTES,
     start_connection, //
 };
+use crate::connection_watch::ConnectionWatch;
 use crate::error::{
     BuildSnafu,
     ConnectSnafu,
     ExchangeSnafu, //
 };
 
+/// Time in which a peer that has closed a connection resets it, since data of the request still arrives.
+const RESET_TIME: Duration = Duration::from_millis(30);
+
 /// Request to a server at a socket address.
 #[derive(Debug, Clone)]
 pub struct HttpRequest {
@@ -89,17 +97,18 @@
 ) -> Result<Response<Incoming>, WebError> {
     let sending = open_without_timeout(request, RESPONSE_BUDGET_BYTES);
     let sent = tokio::time::timeout(timeout, sending).await;
-    sent.unwrap_or(Err(WebError::Timeout))
+    let (response, _) = sent.unwrap_or(Err(WebError::Timeout))?;
+    Ok(response)
 }
 
 async fn open_without_timeout(
     request: HttpRequest,
     budget_bytes: usize,
-) -> Result<Response<Incoming>, WebError> {
+) -> Result<(Response<Incoming>, ConnectionWatch), WebError> {
     let address = request.address;
     let stream = TcpStream::connect(address).await;
     let stream = stream.context(ConnectSnafu { address })?;
-    let (mut sender, read_budget) = start_connection(address, stream).await?;
+    let mut connection = start_connection(address, stream).await?;
     let mut builder = Request::builder().method(request.method).uri(&request.path);
     if !request.headers.iter().any(|(name, _)| *name == "host") {
         builder = builder.header("host", address.to_string());
@@ -108,9 +117,10 @@
         builder = builder.header(*name, value);
     }
     let request = builder.body(Full::new(request.body)).context(BuildSnafu)?;
-    let response = sender.send_request(request).await.context(ExchangeSnafu)?;
-    read_budget.set(budget_bytes);
-    Ok(response)
+    let sent = connection.sender.send_request(request).await;
+    let response = sent.context(ExchangeSnafu)?;
+    connection.read_budget.set(budget_bytes);
+    Ok((response, connection.watch))
 }
 
 /// Sends a request and reads the complete response.
@@ -122,9 +132,21 @@
     let exchange = async {
         // Chunks of a few bytes at least double the size of a body.
         let budget_bytes = HEAD_BUDGET_BYTES + 2 * limit_bytes;
-        let response = open_without_timeout(request, budget_bytes).await?;
+        let has_body = !request.body.is_empty();
+        let (response, watch) = open_without_timeout(request, budget_bytes).await?;
         let (parts, body) = response.into_parts();
+        // A request without a body has arrived before its response.
+        let is_watched = has_body && !is_framed(&parts);
+        if is_watched {
+            watch.keep_socket();
+        }
         let body = read_body(body, limit_bytes, timeout).await?;
+        if is_watched {
+            sleep(RESET_TIME).await;
+            if watch.was_reset() {
+                return Err(WebError::Reset);
+            }
+        }
         Ok(HttpResponse {
             status: parts.status,
             headers: parts.headers,
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -25,6 +25,10 @@
 use tokio::time::Instant;
 
 use crate::WebError;
+use crate::connection_watch::{
+    ConnectionWatch,
+    WatchedStream, //
+};
 use crate::error::{
     ConnectSnafu,
     ExchangeSnafu, //
@@ -54,6 +58,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     read_budget: ReadBudget,
+    watch: ConnectionWatch,
     /// Whether the connection comes from the pool, so that the server may have closed it meanwhile.
     pub is_reused: bool,
     /// Start of the server's process in milliseconds since the Unix epoch, once it has been asked for on
@@ -76,11 +81,12 @@
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
         let stream = stream.context(ConnectSnafu { address })?;
-        let (sender, read_budget) = start_connection(address, stream).await?;
+        let started = start_connection(address, stream).await?;
         Ok(Self {
             address,
-            sender,
-            read_budget,
+            sender: started.sender,
+            read_budget: started.read_budget,
+            watch: started.watch,
             is_reused: false,
             checked_process: None,
         })
@@ -97,6 +103,11 @@
         self.address
     }
 
+    /// Returns what is observed of the connection.
+    pub fn watch(&self) -> &ConnectionWatch {
+        &self.watch
+    }
+
     /// Sends a request and waits for the response header.
     pub async fn send(
         &mut self,
@@ -125,12 +136,24 @@
     }
 }
 
+/// Connection whose driver has been started.
+pub(crate) struct StartedConnection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) read_budget: ReadBudget,
+    pub(crate) watch: ConnectionWatch,
+}
+
 /// Performs the HTTP handshake on a new TCP stream and spawns the task that drives the connection.
 pub(crate) async fn start_connection(
     address: SocketAddr,
     stream: TcpStream,
-) -> Result<(SendRequest<Full<Bytes>>, ReadBudget), WebError> {
+) -> Result<StartedConnection, WebError> {
     set_socket_options(&stream).context(ConnectSnafu { address })?;
+    let watch = ConnectionWatch::default();
+    let stream = WatchedStream {
+        stream,
+        watch: watch.clone(),
+    };
     let budget = ReadBudget::default();
     budget.set(HEAD_BUDGET_BYTES);
     let read_budget = budget.clone();
@@ -144,7 +167,11 @@
     let started = builder.handshake(TokioIo::new(stream)).await;
     let (sender, driver) = started.context(ExchangeSnafu)?;
     tokio::spawn(driver);
-    Ok((sender, budget))
+    Ok(StartedConnection {
+        sender,
+        read_budget: budget,
+        watch,
+    })
 }
 
 /// Sets the socket options that detect an unreachable peer.
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -29,6 +29,9 @@
         /// Cause of the failure.
         source: hyper::http::Error,
     },
+    /// The connection was reset after the end of a response without a length.
+    #[snafu(display("the server reset the connection amid the request; check what took effect"))]
+    Reset,
     /// The timeout expired.
     #[snafu(display("no answer within the time limit; try again later"))]
     Timeout,
