web: responses with a status above 599 are no responses

Cause: the parser accepts 100 to 999 and nothing looked above 599 (RFC 9110, section 15: 100 to 599).

Change: check_status in web, for both clients, so for the gateway, the side process, probes, reports, lists and the store's answers. It counts as malformed, as other bytes that are no response.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -31,7 +31,8 @@
 use crate::error::{
     BuildSnafu,
     ConnectSnafu,
-    ExchangeSnafu, //
+    ExchangeSnafu,
+    check_status, //
 };
 
 /// Time in which a peer that has closed a connection resets it, since data of the request still arrives.
@@ -119,6 +120,7 @@
     let request = builder.body(Full::new(request.body)).context(BuildSnafu)?;
     let sent = connection.sender.send_request(request).await;
     let response = sent.context(ExchangeSnafu)?;
+    check_status(&response)?;
     connection.read_budget.set(budget_bytes);
     Ok((response, connection.watch))
 }
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -31,7 +31,8 @@
 };
 use crate::error::{
     ConnectSnafu,
-    ExchangeSnafu, //
+    ExchangeSnafu,
+    check_status, //
 };
 use crate::observed_stream::ObservedStream;
 use crate::read_budget::ReadBudget;
@@ -120,6 +121,7 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.read_budget.set(RESPONSE_BUDGET_BYTES);
+                check_status(&response).map_err(SendFailure::MaybeSent)?;
                 Ok(response)
             }
             Err(mut failure) => {
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -2,8 +2,15 @@
 
 use std::net::SocketAddr;
 
+use hyper::{
+    Response,
+    StatusCode, //
+};
 use snafu::Snafu;
 
+/// Largest valid status (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
+
 /// Failure of an HTTP exchange.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -29,6 +36,12 @@
         /// Cause of the failure.
         source: hyper::http::Error,
     },
+    /// The status of the response is none of HTTP's.
+    #[snafu(display("the response has the status {status}, which is invalid; check the server"))]
+    InvalidStatus {
+        /// Status of the response.
+        status: StatusCode,
+    },
     /// The connection was reset after the end of a response without a length.
     #[snafu(display("the server reset the connection amid the request; check what took effect"))]
     Reset,
@@ -62,12 +75,21 @@
         )
 }
 
+/// Returns an error if the status of a response is outside the classes of HTTP.
+pub(crate) fn check_status<B>(response: &Response<B>) -> Result<(), WebError> {
+    let status = response.status();
+    if status.as_u16() > MAX_STATUS {
+        return Err(WebError::InvalidStatus { status });
+    }
+    Ok(())
+}
+
 impl WebError {
     /// Returns whether the server sent bytes that are no response in the protocol.
     pub fn is_malformed(&self) -> bool {
         match self {
             Self::Exchange { source } => is_malformed(source),
-            Self::TooLarge { .. } => true,
+            Self::TooLarge { .. } | Self::InvalidStatus { .. } => true,
             _ => false,
         }
     }
