web: only chunks frame a response that has a transfer coding

Callers got parts of answers as whole ones, when a server sent a transfer coding other than chunked and ended in the middle of the body: 12 of 12, on all kinds of route.

Cause: any Transfer-Encoding counted as a frame, while the HTTP client reads a body whose last coding is not chunked to the end of its connection (RFC 9112, section 6.3), so that no question was asked.

Change: is_framed looks at the last coding; such answers are judged as those without a length.

Test, red before: framing_by_other_coding, 12 of 12 looked whole, 0 now.

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -145,10 +145,17 @@
 }
 
 /// Returns whether the head of a response shows where its body ends. Otherwise the body ends with its
-/// connection.
+/// connection. A transfer coding goes before a length, and only chunks show their end.
 pub fn is_framed(head: &Parts) -> bool {
     let headers = &head.headers;
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match codings.next_back() {
+        Some(codings) => {
+            let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+            last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+        }
+        None => headers.contains_key(CONTENT_LENGTH),
+    }
 }
 
 /// Reads a complete body, up to a maximum size and within a timeout.
