gateway: answers without a body are whole with their head

Cause: without a length or chunks they counted as answers that end with their connection.

Change: is_framed holds for 204 and 304, and the gateway adds HEAD.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,6 +13,7 @@
 };
 use hyper::header::HOST;
 use hyper::{
+    Method,
     Request,
     Response, //
 };
@@ -245,7 +246,8 @@
         match connection.send(request).await {
             Ok(http) => {
                 let (head, body) = http.into_parts();
-                let metadata = ResponseMetadata::parse(&head);
+                let mut metadata = ResponseMetadata::parse(&head);
+                metadata.is_framed |= context.method == Method::HEAD;
                 if !metadata.is_framed {
                     connection.watch().keep_socket();
                 }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -145,8 +145,13 @@
 }
 
 /// Returns whether the head of a response shows where its body ends. Otherwise the body ends with its
-/// connection. A transfer coding goes before a length, and only chunks show their end.
+/// connection, unless it is the response to a `HEAD` request. A transfer coding goes before a length, and only
+/// chunks show their end.
 pub fn is_framed(head: &Parts) -> bool {
+    let without_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    if without_body.contains(&head.status) {
+        return true;
+    }
     let headers = &head.headers;
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match codings.next_back() {
