gateway: the end of an answer is judged by the process that wrote it

Cause: the process of the entry as it stood at the end was asked, and taken for the writer. Evidence: the test below, which fails where the entry is new and holds where it is not; the judgement's log line now names the start time.

Change: a sent request keeps the address and the start time of its process (stated on the connection, else by the entry at the sending); the question goes there and its answer counts for that start only. An entry with another start means replaced.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -33,7 +33,10 @@
     Instant,
     timeout_at, //
 };
-use units::InstanceId;
+use units::{
+    IncarnationId,
+    InstanceId, //
+};
 use web::{
     ClientConnection,
     ResponseBody,
@@ -240,6 +243,7 @@
         let process = ServerProcess {
             instance: metadata.instance.clone(),
             address,
+            incarnation: find_incarnation(context, &connection, &metadata.instance),
         };
         let watch = connection.watch().clone();
         let mut sent = SentRequest::new(&context.shared, process, watch);
@@ -274,6 +278,19 @@
     }
 }
 
+/// Returns the start of the process at the other end of a connection.
+fn find_incarnation(
+    context: &RequestContext,
+    connection: &ClientConnection,
+    instance: &InstanceId,
+) -> Option<IncarnationId> {
+    let checked = connection.checked_process;
+    let state = context.shared.lock();
+    let view = state.fleet.get(instance);
+    let stated = view.and_then(|view| view.record.started_unix_ms);
+    checked.or(stated).map(IncarnationId)
+}
+
 fn build_request(
     context: &RequestContext,
     address: SocketAddr,
--- a/crates/gateway/src/servers/sent_requests.rs
+++ b/crates/gateway/src/servers/sent_requests.rs
@@ -9,7 +9,10 @@
     SiblingRequests, //
 };
 use tokio::time::Instant;
-use units::InstanceId;
+use units::{
+    IncarnationId,
+    InstanceId, //
+};
 use web::ConnectionWatch;
 
 use crate::shared::GatewayShared;
@@ -20,6 +23,8 @@
     pub(crate) instance: InstanceId,
     /// Address to which the request was sent.
     pub(crate) address: SocketAddr,
+    /// Start of the process, as it stated on the connection or as its entry stated when the request was sent.
+    pub(crate) incarnation: Option<IncarnationId>,
 }
 
 /// Requests of this gateway by the process to which they were sent.
--- a/crates/gateway/src/suspects/server_process.rs
+++ b/crates/gateway/src/suspects/server_process.rs
@@ -47,9 +47,8 @@
         }
     }
 
-    /// Returns where to probe the server that answered a request, whose entry is gone: it leaves as planned and
-    /// may still run.
-    pub(crate) fn without_entry(context: &RequestContext, address: SocketAddr) -> Self {
+    /// Returns where to probe the server that answered a request, whatever its entry says by now.
+    pub(crate) fn of_response(context: &RequestContext, address: SocketAddr) -> Self {
         let state = context.shared.lock();
         let services = state.table.as_ref().map(|table| &table.services);
         let service = services.and_then(|services| services.get(&context.service));
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -25,7 +25,6 @@
 };
 use crate::suspects::server_process::{
     ProbeTarget,
-    find_process,
     process_state, //
 };
 
@@ -81,7 +80,8 @@
     let instance = &response_end.process.instance;
     let settled_at = response_end.ended_at + SURVIVAL_TIME;
     sleep_until(settled_at + LIVENESS_TIME).await;
-    let verdict = if shared.has_shown_liveness(instance, settled_at) {
+    let is_replaced = is_replaced(&shared.lock(), &response_end.process);
+    let verdict = if !is_replaced && shared.has_shown_liveness(instance, settled_at) {
         EndVerdict::Whole
     } else {
         let end = observe_end(&context, &response_end, PROBE_TIMEOUT).await;
@@ -118,36 +118,35 @@
 fn is_leaving(state: &GatewayState, process: &ServerProcess) -> bool {
     let view = state.fleet.get(&process.instance);
     let view = view.filter(|view| view.record.address == process.address);
-    view.is_none_or(BackendView::has_announced_end)
+    !is_replaced(state, process) && view.is_none_or(BackendView::has_announced_end)
 }
 
-/// Asks the process that wrote a response for its state.
+/// Asks the process that wrote a response for its state, where the request was sent. Its entry may be that of
+/// another process by now.
 async fn ask_writer(
     context: &RequestContext,
     process: &ServerProcess,
     timeout: Duration,
 ) -> ProcessState {
-    let (shared, instance) = (&context.shared, &process.instance);
-    let incarnation = {
-        let state = shared.lock();
-        let view = state.fleet.get(instance);
-        view.and_then(|view| view.record.started_unix_ms.map(IncarnationId))
-    };
-    let has_entry = shared.lock().fleet.get(instance).is_some();
-    let target = if has_entry {
-        find_process(&shared.lock(), instance, incarnation)
-    } else {
-        Some(ProbeTarget::without_entry(context, process.address))
-    };
-    let Some(target) = target else {
-        return ProcessState::Replaced;
-    };
+    let shared = &context.shared;
     let metrics = &shared.metrics;
     metrics.crash_evidence.with_label_values(&["probe"]).inc();
-    match target.ask(shared, instance, timeout).await {
-        Ok(answer) => process_state(answer, incarnation),
-        Err(_) => ProcessState::Silent,
+    let target = ProbeTarget::of_response(context, process.address);
+    let answer = target.ask(shared, &process.instance, timeout).await;
+    let state = answer.map_or(ProcessState::Silent, |answer| {
+        process_state(answer, process.incarnation) //
+    });
+    if state != ProcessState::Running && is_replaced(&shared.lock(), process) {
+        return ProcessState::Replaced;
     }
+    state
+}
+
+/// Returns whether the entry names a process that started at another time.
+fn is_replaced(state: &GatewayState, process: &ServerProcess) -> bool {
+    let view = state.fleet.get(&process.instance);
+    let stated = view.and_then(|view| view.record.started_unix_ms.map(IncarnationId));
+    stated.is_some() && process.incarnation.is_some() && stated != process.incarnation
 }
 
 fn log_verdict(context: &RequestContext, response_end: &ResponseEnd, end: AnswerEnd) {
@@ -161,6 +160,7 @@
         .chosen(&response_end.process.instance)
         .input("verdict", verdict.as_str())
         .input("reset", end.is_reset)
+        .input("incarnation", response_end.process.incarnation.map(|i| i.0))
         .input("writer", end.writer.as_str())
         .input("leaving", end.is_leaving)
         .input("siblings", end.siblings.as_str())
