--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,6 +11,7 @@
     Full,
     Limited, //
 };
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{
     Method,
@@ -249,18 +250,7 @@
         let mut sent = SentRequest::new(&context.shared, process, watch);
         match connection.send(request).await {
             Ok(http) => {
-                let (head, body) = http.into_parts();
-                let mut metadata = ResponseMetadata::parse(&head);
-                metadata.is_framed |= context.method == Method::HEAD;
-                if !metadata.is_framed {
-                    connection.watch().keep_socket();
-                }
-                let response = OpenResponse {
-                    http: Response::from_parts(head, body),
-                    metadata,
-                    connection,
-                    sent,
-                };
+                let response = open_response(context, http, connection, sent);
                 return check_response_head(context, &question, response);
             }
             // A pooled connection may have been closed while idle, which says nothing about the
@@ -309,7 +299,28 @@
     Ok(request)
 }
 
-/// Returns the response with its body still to be read, or the error that its head shows.
+/// Returns a response whose head has arrived, with its body still to be read.
+fn open_response(
+    context: &RequestContext,
+    http: Response<Incoming>,
+    connection: ClientConnection,
+    sent: SentRequest,
+) -> OpenResponse {
+    let (head, body) = http.into_parts();
+    let mut metadata = ResponseMetadata::parse(&head);
+    metadata.is_framed |= context.method == Method::HEAD;
+    if !metadata.is_framed {
+        connection.watch().keep_socket();
+    }
+    OpenResponse {
+        http: Response::from_parts(head, body),
+        metadata,
+        connection,
+        sent,
+    }
+}
+
+/// Returns the response, or the error that its head shows.
 fn check_response_head(
     context: &RequestContext,
     question: &LimitQuestion,
--- a/crates/gateway/src/suspects/unframed_end.rs
+++ b/crates/gateway/src/suspects/unframed_end.rs
@@ -154,13 +154,15 @@
     let metrics = &context.shared.metrics;
     let counter = metrics.unframed_ends.with_label_values(&[verdict.as_str()]);
     counter.inc();
+    let incarnation = response_end.process.incarnation;
+    let incarnation = incarnation.map(|incarnation| incarnation.0);
     let reason = "response without a length ended with its connection";
     let record = context
         .record(DecisionKind::Send, reason)
         .chosen(&response_end.process.instance)
         .input("verdict", verdict.as_str())
         .input("reset", end.is_reset)
-        .input("incarnation", response_end.process.incarnation.map(|i| i.0))
+        .input("incarnation", incarnation)
         .input("writer", end.writer.as_str())
         .input("leaving", end.is_leaving)
         .input("siblings", end.siblings.as_str())
