--- a/review/kit_3.py
+++ b/review/kit_3.py
@@ -391,11 +391,24 @@
         self.beats = asyncio.ensure_future(self.beat())
 
     async def beat(self):
+        while not await self.listens():
+            await asyncio.sleep(0.02)
         while True:
             self.write_entry()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def listens(self):
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     def write_entry(self):
+        orders = [run["order"] for run in self.runs() if "order" in run]
+        if orders:
+            self.entry["phase"] = orders[-1]["phase"]
         self.sequence += 1
         self.entry["sequence"] = self.sequence
         self.store.put_json(f"servers/{self.name}", self.entry)
@@ -409,6 +422,9 @@
             self.beats.cancel()
         self.store.remove(f"servers/{self.name}")
 
+    def phase(self):
+        return self.entry.get("phase")
+
     def kill(self):
         self.process.kill()
         self.process.wait()
--- a/review/worker_3.py
+++ b/review/worker_3.py
@@ -10,6 +10,8 @@
 import time
 
 OPTIONS = json.loads(sys.argv[1])
+# Speed of the engines of the site.
+PREFILL_TOKENS_PER_S = 56600
 STATE = {"sequence": 0, "phase": OPTIONS.get("phase"), "handle": 0, "running": 0}
 
 
@@ -80,16 +82,17 @@
         writer.write(answer(200, {}, b""))
     elif target == "/order":
         order = json.loads(body)
-        note(order=order)
         STATE["sequence"] += 1
         STATE["phase"] = order.get("phase")
+        note(order=order)
         writer.write(answer(202, {}, b""))
     elif STATE["phase"] is None:
         return await run_plain(writer, method, target, headers, attempt)
     elif headers.get("x-galenarail-inference-phase") == "prefill":
         STATE["handle"] += 1
         text = json.dumps({"kvHandle": f"{OPTIONS['id']}-{STATE['handle']}", "tokens": 100, "version": 1}).encode()
-        await asyncio.sleep(0.01)
+        tokens = int(headers.get("x-galenarail-token-usage", "100").split(",")[0])
+        await asyncio.sleep(tokens / PREFILL_TOKENS_PER_S)
         writer.write(answer(200, {**json_type, "X-Galenarail-Attempt-Id": attempt}, text))
     elif STATE["phase"] != "decode":
         writer.write(answer(421, {"X-Galenarail-Not-Processed": "1", "X-Galenarail-Attempt-Id": attempt}, b""))
