--- a/review/kit_3.py
+++ b/review/kit_3.py
@@ -78,13 +78,41 @@
         self.next_lease = 100
         self.changed = asyncio.Event()
         self.server = None
-        self.is_down = False
+        self.era = 1
+        self.is_away = False
+        self.connections = set()
+        self.written_at = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 22)
         self.port = self.server.sockets[0].getsockname()[1]
         self.expiry = asyncio.ensure_future(self.expire())
 
+    def copy(self):
+        """Returns a copy, from which the store may come back."""
+        return self.revision, {key: dict(item) for key, item in self.items.items()}, dict(self.leases)
+
+    async def come_back_from(self, copy, away_s):
+        """Is away for a moment and comes back from a copy, in the next era."""
+        self.is_away = True
+        for writer in list(self.connections):
+            writer.transport.abort()
+        await asyncio.sleep(away_s)
+        self.revision, self.items, self.leases = copy
+        self.events = [event for event in self.events if event[0] <= self.revision]
+        now = time.monotonic()
+        self.written_at = {key: now for key in self.items}
+        self.era += 1
+        self.is_away = False
+        self.notify()
+
+    def remove_silent_servers(self):
+        """Removes the entries of servers that have been silent for three ping intervals."""
+        limit = time.monotonic() - 3 * HEARTBEAT_S
+        for key in [key for key in self.items if key.startswith("servers/")]:
+            if self.written_at.get(key, 0) < limit:
+                self.remove(key)
+
     def notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -96,6 +124,7 @@
             created = old["created"] if old else self.revision
             item = {"key": key, "value": value, "revision": self.revision, "created": created, "lease": lease}
             self.items[key] = item
+            self.written_at[key] = time.monotonic()
             self.events.append((self.revision, dict(item)))
         for key in removes:
             if self.items.pop(key, None):
@@ -124,8 +153,12 @@
             now = time.monotonic()
             for lease in [l for l, (_, end) in self.leases.items() if end <= now]:
                 self.end_lease(lease)
+            self.remove_silent_servers()
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
+        if self.is_away:
+            writer.transport.abort()
         try:
             while True:
                 head = await read_head(reader)
@@ -134,19 +167,18 @@
                 line, headers = head
                 method, target, _ = line.split(" ")
                 body = await read_body(reader, headers)
-                if self.is_down:
-                    await asyncio.sleep(3600)
                 status, answer = await self.answer(method, target, body)
                 text = json.dumps(answer).encode()
                 reason = "OK" if status == 200 else "Error"
                 writer.write(
-                    f"HTTP/1.1 {status} {reason}\r\ncontent-type: application/json\r\n"
+                    f"HTTP/1.1 {status} {reason}\r\ncontent-type: application/json\r\nstore-era: {self.era}\r\n"
                     f"content-length: {len(text)}\r\n\r\n".encode() + text
                 )
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def answer(self, method, target, body):
@@ -163,6 +195,8 @@
             return 200, {"items": page, "morePages": len(keys) > 500, "storeRevision": self.revision}
         if method == "GET" and path == "/kv-watch":
             after, prefix = int(query["after"]), query["prefix"]
+            if after > self.revision:
+                return 410, {}
             end = time.monotonic() + int(query["waitMs"]) / 1000
             while True:
                 events = [e for r, e in self.events if r > after and e["key"].startswith(prefix)]
@@ -417,6 +451,10 @@
         self.entry["state"] = "draining"
         self.write_entry()
 
+    def set_leaving(self):
+        """From now on its answers say that it leaves."""
+        self.process.send_signal(signal.SIGUSR1)
+
     def remove_entry(self):
         if self.beats:
             self.beats.cancel()
--- a/review/worker_3.py
+++ b/review/worker_3.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import json
+import signal
 import sys
 import time
 
 OPTIONS = json.loads(sys.argv[1])
 # Speed of the engines of the site.
 PREFILL_TOKENS_PER_S = 56600
-STATE = {"sequence": 0, "phase": OPTIONS.get("phase"), "handle": 0, "running": 0}
+STATE = {"sequence": 0, "phase": OPTIONS.get("phase"), "handle": 0, "running": 0, "leaving": False}
 
 
 def note(**fields):
@@ -40,9 +41,14 @@
     lines = [f"HTTP/1.1 {status} {'OK' if status < 300 else 'Error'}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
+    lines += leaving_lines()
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def leaving_lines():
+    return ["Server-Leaving: 1"] if STATE["leaving"] else []
+
+
 def report():
     return json.dumps({
         "phase": STATE["phase"], "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False,
@@ -114,15 +120,16 @@
 async def run_stream(writer, headers, attempt):
     """Sends the events after `Last-Event-Id`. The last one is that with the number `events`."""
     first = int(headers.get("last-event-id", "0")) + 1
-    note(run=attempt, first=first)
+    note(run=attempt, first=first, leaving=STATE["leaving"])
     STATE["running"] += 1
     try:
+        await asyncio.sleep(OPTIONS.get("start_ms", 0) / 1000)
         is_unframed = OPTIONS.get("unframed", False)
         framing = "Connection: close\r\n" if is_unframed else "Transfer-Encoding: chunked\r\n"
         writer.write((
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"X-Galenarail-Attempt-Id: {attempt}\r\nX-Galenarail-Server-Signature: 3e1b.07.5a2\r\n"
-            f"X-Galenarail-Weight-Versions: 1\r\n{framing}\r\n"
+            f"X-Galenarail-Weight-Versions: 1\r\n{framing}" + "".join(line + "\r\n" for line in leaving_lines()) + "\r\n"
         ).encode())
         for number in range(first, OPTIONS["events"] + 1):
             await asyncio.sleep(OPTIONS["event_ms"] / 1000)
@@ -139,7 +146,12 @@
         STATE["running"] -= 1
 
 
+def set_leaving(*_):
+    STATE["leaving"] = True
+
+
 async def main():
+    signal.signal(signal.SIGUSR1, set_leaving)
     server = await asyncio.start_server(serve, "127.0.0.1", OPTIONS["port"], limit=1 << 22)
     async with server:
         await server.serve_forever()
