--- a/review/worker_3.py
+++ b/review/worker_3.py
@@ -1,7 +1,7 @@
 """Stand-in of a worker: an engine with a phase, or a plain service. One process a worker.
 
 Options (JSON, first argument): id, port, born, phase (None, "prefill" or "decode"), runs (file with a line for each
-run and event), event_ms, events, unframed (whether answers have neither a length nor chunks), work_ms.
+run and event), event_ms, events, start_ms, unframed (whether answers have neither a length nor chunks), work_ms, body_bytes.
 """
 
 import asyncio
@@ -110,8 +110,18 @@
 
 async def run_plain(writer, method, target, headers, attempt):
     note(run=attempt, method=method, target=target)
+    body = b"x" * OPTIONS.get("body_bytes", 800)
+    if OPTIONS.get("unframed"):
+        writer.write((
+            f"HTTP/1.1 200 OK\r\nX-Galenarail-Attempt-Id: {attempt}\r\n"
+            "X-Galenarail-Server-Signature: 3e1b.07.5a2\r\nConnection: close\r\n\r\n"
+        ).encode() + body[: len(body) // 2])
+        await writer.drain()
+        await asyncio.sleep(OPTIONS["work_ms"] / 1000)
+        writer.write(body[len(body) // 2 :])
+        await writer.drain()
+        return False
     await asyncio.sleep(OPTIONS.get("work_ms", 30) / 1000)
-    body = OPTIONS.get("body", "x" * 800).encode()
     writer.write(answer(200, {"X-Galenarail-Attempt-Id": attempt, "X-Galenarail-Server-Signature": "3e1b.07.5a2"}, body))
     await writer.drain()
     return True
